Add the design page, the domain types and the repository's checks

Cause: the project needs one page of decisions and one root package of types and interfaces before the parts can be built beside each other.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+.PHONY: build test ci bench fuzz generate size
+
+build:
+	go build -o bin/jaygw ./cmd/jaygw
+
+test:
+	go test ./...
+
+ci:
+	bash .ci/run
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# Runs the property tests longer, with a fresh seed, which is printed.
+fuzz:
+	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "JAYGW_SEED=$$seed"; \
+	JAYGW_SEED=$$seed JAYGW_CHECKS=2000 go test -count=1 -timeout 60m ./internal/...
+
+generate:
+	go generate ./...
+
+# Prints the share of test lines in the code.
+size:
+	@bash .ci/size
--- /dev/null
+++ b/control.go
@@ -0,0 +1,117 @@
+package jaygw
+
+import (
+	"context"
+	"time"
+)
+
+type (
+	// Control is the replicated control state as the rest of a process sees it.
+	Control interface {
+		// Propose commits a command and returns its result. A refusal is a
+		// result, not an error. ErrOutcomeUnknown asks for a resend.
+		Propose(ctx context.Context, command Command) (Result, error)
+
+		// Confirm returns once a quorum has confirmed, after the call began, that
+		// this replica's applied state is current, and returns its index.
+		Confirm(ctx context.Context) (Index, error)
+
+		// Status describes the replica.
+		Status() ReplicaStatus
+	}
+
+	// StateMachine applies committed commands. Apply is deterministic.
+	StateMachine interface {
+		Apply(index Index, command Command) Result
+		// Snapshot returns a function that encodes the state as it is now; the
+		// function may run while later commands are applied.
+		Snapshot() (encode func() ([]byte, error))
+		Restore(snapshot []byte) error
+	}
+
+	// Member is one replica of a control group.
+	Member struct {
+		ID      uint64 `json:"id"`
+		Name    string `json:"name"`
+		Address string `json:"address"`
+		Domain  string `json:"domain"`
+		Voter   bool   `json:"voter"`
+	}
+
+	// ReplicaStatus describes one replica.
+	ReplicaStatus struct {
+		Group   string   `json:"group"`
+		ID      uint64   `json:"id"`
+		Leader  uint64   `json:"leader"` // zero if unknown
+		Term    uint64   `json:"term"`
+		Commit  Index    `json:"commit"`
+		Applied Index    `json:"applied"`
+		Members []Member `json:"members"`
+	}
+
+	// Observer is told of each applied change, in log order.
+	Observer interface {
+		TaskChanged(before, after *Task) // nil before: added; nil after: removed
+		VMChanged(before, after *VM)
+		DomainChanged(after *FailureDomain)
+		DocumentChanged(after *Submitted)
+		// Reset announces that the whole state was replaced by a snapshot.
+		Reset()
+	}
+
+	// Worker is the platform's worker on one VM.
+	Worker interface {
+		// Start runs an attempt, from a checkpoint if there is one, until it ends
+		// or the lease does.
+		Start(ctx context.Context, permit Permit, lease time.Duration) error
+		// Extend renews the lease of every attempt of the kind.
+		Extend(ctx context.Context, kind TaskKind, lease time.Duration) error
+		// Checkpoint makes the attempt write a checkpoint and returns it.
+		Checkpoint(ctx context.Context, attempt Attempt) (Checkpoint, error)
+		// Throttle limits the attempt to a share of its size, in percent.
+		Throttle(ctx context.Context, attempt Attempt, percent int) error
+		// Stop ends an attempt and returns its last checkpoint. Stopping an
+		// attempt that does not run is no error.
+		Stop(ctx context.Context, attempt Attempt) (Checkpoint, error)
+		// List returns all attempts that run or have ended since the last call
+		// of Forget.
+		List(ctx context.Context) ([]WorkerTask, error)
+		// Forget drops the record of an ended attempt.
+		Forget(ctx context.Context, attempt Attempt) error
+		// Usage returns the observed use, which lags behind.
+		Usage(ctx context.Context) ([]Usage, error)
+	}
+
+	// WorkerTaskState is the state of an attempt on a worker.
+	WorkerTaskState string
+
+	// WorkerTask is one attempt as the worker sees it.
+	WorkerTask struct {
+		Attempt    Attempt         `json:"attempt"`
+		Kind       TaskKind        `json:"kind"`
+		Service    string          `json:"service,omitempty"`
+		State      WorkerTaskState `json:"state"`
+		Checkpoint Checkpoint      `json:"checkpoint"`
+		Reason     string          `json:"reason,omitempty"`
+	}
+
+	// Usage is the observed use of one attempt.
+	Usage struct {
+		Attempt  Attempt       `json:"attempt"`
+		Used     Resources     `json:"used"`
+		Lag      time.Duration `json:"lag"`
+		Latency  time.Duration `json:"latency,omitempty"`  // p99 of a service over the sample
+		Requests int64         `json:"requests,omitempty"` // over the sample
+	}
+)
+
+const (
+	// WorkerRunning attempts run.
+	WorkerRunning WorkerTaskState = "running"
+	// WorkerCompleted attempts have finished their work.
+	WorkerCompleted WorkerTaskState = "completed"
+	// WorkerFailed attempts ended without finishing.
+	WorkerFailed WorkerTaskState = "failed"
+	// WorkerStopped attempts were stopped, or their lease ended.
+	WorkerStopped WorkerTaskState = "stopped"
+)
--- /dev/null
+++ b/internal/wire/encoder/encoder.go
@@ -0,0 +1,52 @@
+// Package encoder encodes commands, results and snapshots as CBOR in core
+// deterministic form: equal values have equal bytes.
+package encoder
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	maxNestedLevels  = 32
+	maxArrayElements = 4 << 20
+	maxMapPairs      = 4 << 20
+)
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+// Marshal encodes a value.
+func Marshal(value any) ([]byte, error) {
+	data, err := encMode.Marshal(value)
+	return data, eris.Wrap(err, "encode")
+}
+
+// Unmarshal decodes data into the value that target points to. Trailing bytes
+// are an error.
+func Unmarshal(data []byte, target any) error {
+	return eris.Wrap(decMode.Unmarshal(data, target), "decode")
+}
+
+func mustEnc() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDec() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,113 @@
+package jaygw
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+type (
+	// RefusalCode names the reason for a refusal.
+	RefusalCode string
+
+	// Refusal is a command's negative result. The command had no effect.
+	Refusal struct {
+		Code   RefusalCode `cbor:"1,keyasint" json:"code"`
+		Detail string      `cbor:"2,keyasint" json:"detail"`
+	}
+
+	// Finding is one fault in a settings file or a document.
+	Finding struct {
+		File    string `json:"file,omitempty"`
+		Path    string `json:"path"` // such as services[2].resources.cpu-millicores
+		Message string `json:"message"`
+	}
+
+	// Findings are all faults found in one input.
+	Findings []Finding
+)
+
+const (
+	// RefusedConflict means that another document has the same number.
+	RefusedConflict RefusalCode = "number-conflict"
+	// RefusedStale means that the input is older than what is in force.
+	RefusedStale RefusalCode = "stale"
+	// RefusedUnknown means that the named object does not exist.
+	RefusedUnknown RefusalCode = "unknown-object"
+	// RefusedInvalid means that the input is malformed.
+	RefusedInvalid RefusalCode = "invalid"
+	// RefusedFull means that a bounded table is full.
+	RefusedFull RefusalCode = "table-full"
+	// RefusedCapacity means that the VM's size would be exceeded.
+	RefusedCapacity RefusalCode = "over-capacity"
+	// RefusedQuota means that the team's quota would be exceeded.
+	RefusedQuota RefusalCode = "over-quota"
+	// RefusedDomainOut means that the failure domain is out.
+	RefusedDomainOut RefusalCode = "domain-out"
+	// RefusedEpoch means that the attempt is not the one in force.
+	RefusedEpoch RefusalCode = "old-epoch"
+	// RefusedIncarnation means that the agent has a newer incarnation.
+	RefusedIncarnation RefusalCode = "old-incarnation"
+	// RefusedState means that the object's state does not allow the change.
+	RefusedState RefusalCode = "wrong-state"
+	// RefusedNeverFits means that the job can never run.
+	RefusedNeverFits RefusalCode = "never-fits"
+	// RefusedKeyBusy means that the key's first request may still be running.
+	RefusedKeyBusy RefusalCode = "key-pending"
+	// RefusedKeyKnown means that the key has an outcome.
+	RefusedKeyKnown RefusalCode = "key-settled"
+	// RefusedKeyReused means that the key was used for a different request.
+	RefusedKeyReused RefusalCode = "key-reused"
+	// RefusedSequence means that the result of an old command is no longer stored.
+	RefusedSequence RefusalCode = "old-sequence"
+)
+
+var (
+	// ErrNotLeader is returned by a replica that cannot decide; the command may
+	// be sent to another replica.
+	ErrNotLeader = errors.New("this replica is not the leader")
+	// ErrNotCurrent is returned when a quorum did not confirm the read.
+	ErrNotCurrent = errors.New("the control state could not be confirmed by a quorum")
+	// ErrOutcomeUnknown is returned when a command may or may not be committed;
+	// resend it with the same client and sequence.
+	ErrOutcomeUnknown = errors.New("the outcome of the command is unknown")
+	// ErrStopped is returned by a component that has been shut down.
+	ErrStopped = errors.New("stopped")
+)
+
+// Error returns the code and the detail.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Code, r.Detail) }
+
+// Refuse returns a result that carries a refusal.
+func Refuse(code RefusalCode, format string, args ...any) Result {
+	return Result{Refusal: &Refusal{Code: code, Detail: fmt.Sprintf(format, args...)}}
+}
+
+// Err returns the refusal as an error, or nil.
+func (r Result) Err() error {
+	if r.Refusal == nil {
+		return nil
+	}
+	return r.Refusal
+}
+
+// String returns the finding with its place.
+func (f Finding) String() string {
+	switch {
+	case f.File == "":
+		return f.Path + ": " + f.Message
+	case f.Path == "":
+		return f.File + ": " + f.Message
+	default:
+		return f.File + ": " + f.Path + ": " + f.Message
+	}
+}
+
+// Error returns one finding per line.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/resources.go
@@ -0,0 +1,36 @@
+package jaygw
+
+// Resources is an amount of processors, memory and accelerators.
+type Resources struct {
+	CPU          MilliCores `json:"cpu-millicores"`
+	Memory       Bytes      `json:"memory-bytes"`
+	Accelerators int64      `json:"accelerators,omitempty"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
+}
+
+// Max returns the larger of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
+// Min returns the smaller of r and o in each dimension.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.CPU, o.CPU), min(r.Memory, o.Memory), min(r.Accelerators, o.Accelerators)}
+}
+
+// Fits reports whether r is at most size in every dimension.
+func (r Resources) Fits(size Resources) bool {
+	return r.CPU <= size.CPU && r.Memory <= size.Memory && r.Accelerators <= size.Accelerators
+}
+
+// IsZero reports whether all dimensions are zero.
+func (r Resources) IsZero() bool { return r == Resources{} }
--- /dev/null
+++ b/world.go
@@ -0,0 +1,100 @@
+package jaygw
+
+import "time"
+
+type (
+	// Incarnation identifies one life of an agent process. A restarted agent
+	// draws a new one.
+	Incarnation uint64
+
+	// VM is a worker VM that an agent has announced.
+	VM struct {
+		Name        string      `json:"name"`
+		Group       string      `json:"group"`
+		Region      string      `json:"region"`
+		Domain      string      `json:"domain"`
+		Rack        string      `json:"rack"`
+		Size        Resources   `json:"size"`
+		Slots       int         `json:"slots"`
+		Address     string      `json:"address"` // the agent's drpc address
+		Services    []string    `json:"services,omitempty"`
+		Incarnation Incarnation `json:"incarnation"`
+		Leaving     bool        `json:"leaving,omitempty"`
+		Since       Time        `json:"since"` // announced, or last returned
+
+		// Committed is the sum of the reservations of all attempts that may
+		// still run on the VM.
+		Committed Resources `json:"committed"`
+	}
+
+	// FailureDomain is a set of VMs that may fail, or be taken out, together.
+	FailureDomain struct {
+		Name   string `json:"name"`
+		Region string `json:"region"`
+		Out    bool   `json:"out"`
+		Since  Time   `json:"since"` // the last change of Out
+	}
+
+	// Link is the network path between two failure domains.
+	Link struct {
+		From   string        `json:"from"`
+		To     string        `json:"to"`
+		OneWay time.Duration `json:"one-way"`
+	}
+
+	// Contract is what callers of a service are entitled to and bound by. It is
+	// derived from the document in force.
+	Contract struct {
+		Environment       string
+		Service           string
+		Class             Class
+		Timeout           time.Duration
+		LatencyTarget     time.Duration
+		MaxBody           Bytes
+		IdempotentMethods []string
+		RetryPercent      int // retries allowed per hundred first attempts
+		Hedge             bool
+	}
+
+	// Upstream is a VM that can serve requests for a service.
+	Upstream struct {
+		VM          string      `json:"vm"`
+		Domain      string      `json:"domain"`
+		Address     string      `json:"address"`
+		Incarnation Incarnation `json:"incarnation"`
+		Since       Time        `json:"since"`
+	}
+
+	// Caller is the origin of a request.
+	Caller struct {
+		Address string
+		Class   Class
+	}
+
+	// View is what entries need to know: the documents in force, the domains
+	// and the upstreams of each service.
+	View struct {
+		Group     string                   `json:"group"`
+		Index     Index                    `json:"index"`
+		Revision  uint64                   `json:"revision"` // grows with each change of liveness within one term
+		Term      uint64                   `json:"term"`
+		Contracts map[string]Contract      `json:"contracts"`
+		Domains   map[string]FailureDomain `json:"domains"`
+		Upstreams map[string][]Upstream    `json:"upstreams"` // by service
+	}
+)
+
+// Idempotent reports whether the contract lets a request with this method be
+// sent more than once.
+func (c Contract) Idempotent(method string) bool {
+	for _, m := range c.IdempotentMethods {
+		if m == method {
+			return true
+		}
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return true
+	}
+	return false
+}
