--- a/control.go
+++ b/control.go
@@ -6,11 +6,16 @@
 )
 
 type (
-	// Control is the replicated control state as the rest of a process sees it.
-	Control interface {
+	// Proposer commits commands.
+	Proposer interface {
 		// Propose commits a command and returns its result. A refusal is a
 		// result, not an error. ErrOutcomeUnknown asks for a resend.
 		Propose(ctx context.Context, command Command) (Result, error)
+	}
+
+	// Control is the replicated control state as the rest of a process sees it.
+	Control interface {
+		Proposer
 
 		// Confirm returns once a quorum has confirmed, after the call began, that
 		// this replica's applied state is current, and returns its index.
--- a/document.go
+++ b/document.go
@@ -75,6 +75,14 @@
 	// DocumentState is where a document is on its way into force.
 	DocumentState string
 
+	// DocumentRecord is what is kept of a document that is no longer on trial.
+	DocumentRecord struct {
+		Number uint64 `json:"number"`
+		Digest string `json:"digest"`
+		Author string `json:"author"`
+		Index  Index  `json:"index"` // of its submission
+	}
+
 	// Submitted is a document known to the control state.
 	Submitted struct {
 		Document Document      `json:"document"`
--- /dev/null
+++ b/internal/config/checker/checker_test.go
@@ -0,0 +1,63 @@
+package checker_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/checker"
+	"github.com/stretchr/testify/require"
+)
+
+// All faults of a settings file must be found in one run, each with its place.
+func TestSettingsReportsAllFaults(t *testing.T) {
+	const file = "testdata/six-faults.json"
+	data, err := os.ReadFile(file)
+	require.NoError(t, err)
+	_, findings := checker.Settings(file, data, jaygw.RoleEntry)
+	var paths []string
+	for _, f := range findings {
+		require.Equal(t, file, f.File)
+		paths = append(paths, f.Path)
+	}
+	require.ElementsMatch(t, []string{
+		"limits.requests", "logs", "name", "listen.operators", "listen.processes", "control.data-folder",
+	}, paths)
+}
+
+// The examples must stay valid, or new users start with an error.
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/*/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		require.NoError(t, err)
+		var findings jaygw.Findings
+		switch name := filepath.Base(file); {
+		case name == "document.json":
+			_, findings = checker.Document(file, data)
+		case name[:5] == "agent":
+			_, findings = checker.Settings(file, data, jaygw.RoleAgent)
+		case name[:5] == "entry":
+			_, findings = checker.Settings(file, data, jaygw.RoleEntry)
+			findings = withoutFolder(findings)
+		default:
+			_, findings = checker.Job(file, data)
+		}
+		require.Empty(t, findings, findings.Error())
+	}
+}
+
+// withoutFolder drops the finding on the data folder, which exists only where
+// the daemon runs.
+func withoutFolder(findings jaygw.Findings) jaygw.Findings {
+	var kept jaygw.Findings
+	for _, f := range findings {
+		if f.Path != "control.data-folder" {
+			kept = append(kept, f)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/control/applier/estate.go
@@ -0,0 +1,102 @@
+package applier
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/jaygw/jaygw"
+)
+
+func (m *Machine) setDomain(set jaygw.SetDomain) jaygw.Result {
+	old, ok := m.state.Domains[set.Name]
+	if !ok {
+		return jaygw.Refuse(jaygw.RefusedUnknown, "failure domain %s is neither declared nor announced by a VM", set.Name)
+	}
+	if old.Out == set.Out {
+		return jaygw.Result{Already: true}
+	}
+	next := *old
+	next.Out = set.Out
+	next.Since = m.state.Time
+	m.putDomain(&next)
+	return jaygw.Result{}
+}
+
+func (m *Machine) announceVM(vm jaygw.VM) jaygw.Result {
+	old, known := m.state.VMs[vm.Name]
+	if !known {
+		if len(m.state.VMs) >= m.limits.VMs {
+			return jaygw.Refuse(jaygw.RefusedFull, "the table of VMs holds its limit of %d", m.limits.VMs)
+		}
+		vm.Committed = jaygw.Resources{}
+		vm.Since = m.state.Time
+	} else {
+		vm.Committed = old.Committed
+		vm.Since = old.Since
+		if old.Incarnation != vm.Incarnation || old.Leaving && !vm.Leaving {
+			vm.Since = m.state.Time
+		}
+		if !vm.Committed.Fits(vm.Size) {
+			return jaygw.Refuse(jaygw.RefusedCapacity,
+				"VM %s announced a size below what is committed on it; its tasks have to leave first", vm.Name)
+		}
+	}
+	if _, ok := m.state.Domains[vm.Domain]; !ok {
+		m.putDomain(&jaygw.FailureDomain{Name: vm.Domain, Region: vm.Region, Since: m.state.Time})
+	}
+	m.putVM(&vm)
+	return jaygw.Result{}
+}
+
+// expireVM ends the attempts of a VM whose lease is over.
+func (m *Machine) expireVM(expire jaygw.ExpireVM) jaygw.Result {
+	vm, ok := m.state.VMs[expire.Name]
+	if !ok {
+		return jaygw.Refuse(jaygw.RefusedUnknown, "VM %s is not known", expire.Name)
+	}
+	if vm.Incarnation != expire.Incarnation {
+		return jaygw.Refuse(jaygw.RefusedIncarnation, "VM %s has a newer incarnation", expire.Name)
+	}
+	for _, id := range m.index.tasksOn(expire.Name) {
+		task := m.state.Tasks[id]
+		if len(expire.Kinds) == 0 || slices.Contains(expire.Kinds, task.Kind) {
+			m.release(task, nil, "the lease of VM "+expire.Name+" is over")
+		}
+	}
+	return jaygw.Result{}
+}
+
+func (m *Machine) removeVM(remove jaygw.RemoveVM) jaygw.Result {
+	vm, ok := m.state.VMs[remove.Name]
+	if !ok {
+		return jaygw.Result{Already: true}
+	}
+	if len(m.index.byVM[remove.Name]) > 0 {
+		return jaygw.Refuse(jaygw.RefusedState, "VM %s still holds attempts", remove.Name)
+	}
+	delete(m.state.VMs, remove.Name)
+	for _, observer := range m.observers {
+		observer.VMChanged(vm, nil)
+	}
+	return jaygw.Result{}
+}
+
+func (m *Machine) putDomain(domain *jaygw.FailureDomain) {
+	m.state.Domains[domain.Name] = domain
+	for _, observer := range m.observers {
+		observer.DomainChanged(domain)
+	}
+}
+
+func (m *Machine) putVM(vm *jaygw.VM) {
+	old := m.state.VMs[vm.Name]
+	m.state.VMs[vm.Name] = vm
+	for _, observer := range m.observers {
+		observer.VMChanged(old, vm)
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](table map[K]V) []K {
+	return slices.Sorted(maps.Keys(table))
+}
--- /dev/null
+++ b/internal/control/applier/jobs.go
@@ -0,0 +1,152 @@
+package applier
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/jaygw/jaygw"
+)
+
+func (m *Machine) submitJob(spec jaygw.JobSpec) jaygw.Result {
+	key := ownerKey(spec.Environment, spec.Name)
+	if old, ok := m.state.Jobs[key]; ok {
+		if reflect.DeepEqual(old.Spec, spec) {
+			return jaygw.Result{Already: true}
+		}
+		return jaygw.Refuse(jaygw.RefusedConflict, "environment %s already has another job named %s", spec.Environment, spec.Name)
+	}
+	if refusal := m.checkJob(spec); refusal != nil {
+		return jaygw.Result{Refusal: refusal}
+	}
+	m.state.Jobs[key] = &jaygw.Job{Spec: spec, State: jaygw.JobActive, Submitted: m.state.Time}
+	for i := range spec.Tasks {
+		m.putTask(&jaygw.Task{
+			ID:          jaygw.TaskID(fmt.Sprintf("%s/%d", key, i)),
+			Environment: spec.Environment,
+			Owner:       spec.Name,
+			Kind:        jaygw.BatchTask,
+			Team:        spec.Team,
+			Class:       spec.Class(),
+			Declared:    spec.Resources,
+			RunTime:     spec.RunTime,
+			Domains:     spec.Domains,
+			Payload:     spec.Payload,
+			State:       jaygw.Waiting,
+			Since:       m.state.Time,
+			Submitted:   m.state.Time,
+		})
+	}
+	return jaygw.Result{}
+}
+
+// checkJob refuses jobs that cannot run, now or ever.
+func (m *Machine) checkJob(spec jaygw.JobSpec) *jaygw.Refusal {
+	refuse := func(code jaygw.RefusalCode, format string, args ...any) *jaygw.Refusal {
+		return &jaygw.Refusal{Code: code, Detail: fmt.Sprintf(format, args...)}
+	}
+	environment, ok := m.state.Environments[spec.Environment]
+	if !ok || environment.InForce == nil {
+		return refuse(jaygw.RefusedUnknown, "environment %s has no document in force", spec.Environment)
+	}
+	team, ok := m.state.Teams[ownerKey(spec.Environment, spec.Team)]
+	if !ok {
+		return refuse(jaygw.RefusedUnknown, "environment %s has no team %s", spec.Environment, spec.Team)
+	}
+	for _, service := range environment.InForce.Document.Services {
+		if service.Name == spec.Name {
+			return refuse(jaygw.RefusedConflict, "environment %s has a service named %s", spec.Environment, spec.Name)
+		}
+	}
+	if spec.Tasks < 1 || spec.Resources.IsZero() {
+		return refuse(jaygw.RefusedInvalid, "job %s needs at least one task and a size", spec.Name)
+	}
+	if !spec.Resources.Fits(team.Quota) {
+		return refuse(jaygw.RefusedNeverFits, "a task of job %s is larger than the quota of team %s", spec.Name, spec.Team)
+	}
+	if len(m.state.VMs) > 0 && !m.fitsSomeVM(spec, team) {
+		return refuse(jaygw.RefusedNeverFits, "a task of job %s is larger than every VM where team %s may start it",
+			spec.Name, spec.Team)
+	}
+	if len(m.state.Jobs) >= m.limits.Jobs {
+		return refuse(jaygw.RefusedFull, "the table of jobs holds its limit of %d; finished jobs leave it after %s",
+			m.limits.Jobs, jobRetention)
+	}
+	if len(m.state.Tasks)+spec.Tasks > m.limits.Tasks {
+		return refuse(jaygw.RefusedFull, "the table of tasks holds %d of %d; job %s has %d",
+			len(m.state.Tasks), m.limits.Tasks, spec.Name, spec.Tasks)
+	}
+	return nil
+}
+
+func (m *Machine) fitsSomeVM(spec jaygw.JobSpec, team *jaygw.Team) bool {
+	for _, vm := range m.state.VMs {
+		if spec.Resources.Fits(vm.Size) && allows(spec.Domains, vm.Domain) && allows(team.MayStart, vm.Domain) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) cancelJob(cancel jaygw.CancelJob) jaygw.Result {
+	key := ownerKey(cancel.Environment, cancel.Name)
+	job, ok := m.state.Jobs[key]
+	if !ok {
+		return jaygw.Refuse(jaygw.RefusedUnknown, "environment %s has no job %s", cancel.Environment, cancel.Name)
+	}
+	if job.State != jaygw.JobActive {
+		return jaygw.Result{Already: true}
+	}
+	for _, id := range m.index.tasksOf(key) {
+		m.cancelTask(m.state.Tasks[id])
+	}
+	return jaygw.Result{}
+}
+
+// taskEnded counts an ended batch task. When the last task of a job has ended,
+// the job's tasks are dropped and only the counts are kept.
+func (m *Machine) taskEnded(task *jaygw.Task) {
+	if task.Kind != jaygw.BatchTask {
+		return
+	}
+	key := ownerKey(task.Environment, task.Owner)
+	next := *m.state.Jobs[key]
+	switch task.State {
+	case jaygw.Done:
+		next.Done++
+	case jaygw.Failed:
+		next.Failed++
+		next.Reason = fmt.Sprintf("task %s: %s", task.ID, task.Reason)
+	case jaygw.Canceled:
+		next.Canceled++
+	}
+	if next.Done+next.Failed+next.Canceled == next.Spec.Tasks {
+		next.Finished = m.state.Time
+		next.State = finalState(next)
+		for _, id := range m.index.tasksOf(key) {
+			m.dropTask(id)
+		}
+		m.index.expireAt(next.Finished.Add(jobRetention), jobTable, key)
+	}
+	m.state.Jobs[key] = &next
+}
+
+func finalState(job jaygw.Job) jaygw.JobState {
+	switch {
+	case job.Failed > 0:
+		return jaygw.JobFailed
+	case job.Canceled > 0:
+		return jaygw.JobCanceled
+	default:
+		return jaygw.JobDone
+	}
+}
+
+// allows reports whether a list of names admits a name; an empty list admits all.
+func allows(list []string, name string) bool {
+	for _, allowed := range list {
+		if allowed == name {
+			return true
+		}
+	}
+	return len(list) == 0
+}
--- /dev/null
+++ b/internal/control/applier/keys.go
@@ -0,0 +1,101 @@
+package applier
+
+import (
+	"github.com/jaygw/jaygw"
+)
+
+// recordOverhead estimates the memory of a key record without its strings and
+// body.
+const recordOverhead = 128
+
+func (m *Machine) claimKeys(batch jaygw.ClaimKeys) jaygw.Result {
+	results := make([]jaygw.ItemResult, len(batch.Claims))
+	for i, claim := range batch.Claims {
+		results[i] = m.claim(claim)
+	}
+	return jaygw.Result{Results: results}
+}
+
+func (m *Machine) claim(c jaygw.KeyClaim) jaygw.ItemResult {
+	record, known := m.state.Keys[c.Key]
+	if known {
+		if record.Claim.Digest != c.Digest {
+			return item(jaygw.RefusedKeyReused, "the key was used for a different request")
+		}
+		if record.Outcome == jaygw.KeyPending && record.Claim.Request == c.Request {
+			return jaygw.ItemResult{} // a resend of the same claim
+		}
+		if record.Outcome != jaygw.KeyNotExecuted {
+			code := jaygw.RefusedKeyKnown
+			if record.Outcome == jaygw.KeyPending {
+				code = jaygw.RefusedKeyBusy
+			}
+			refused := item(code, "the key's first request is %s", record.Outcome)
+			refused.Key = record
+			return refused
+		}
+	}
+	if c.Expires <= m.state.Time {
+		return item(jaygw.RefusedInvalid, "the claim has already expired")
+	}
+	next := &jaygw.KeyRecord{Claim: c, Outcome: jaygw.KeyPending}
+	if !known && len(m.state.Keys) >= m.limits.Keys || m.keyBytesAfter(record, next) > m.limits.KeyBytes {
+		return item(jaygw.RefusedFull, "the table of idempotency keys is full")
+	}
+	m.putKey(record, next)
+	m.index.expireAt(c.Expires, keyTable, c.Key)
+	return jaygw.ItemResult{}
+}
+
+func (m *Machine) settleKeys(batch jaygw.SettleKeys) jaygw.Result {
+	results := make([]jaygw.ItemResult, len(batch.Settlements))
+	for i, settlement := range batch.Settlements {
+		results[i] = m.settle(settlement)
+	}
+	return jaygw.Result{Results: results}
+}
+
+func (m *Machine) settle(s jaygw.Settlement) jaygw.ItemResult {
+	record, ok := m.state.Keys[s.Key]
+	if !ok || record.Claim.Request != s.Request {
+		return item(jaygw.RefusedUnknown, "the request does not hold the key")
+	}
+	if record.Outcome != jaygw.KeyPending && record.Outcome != jaygw.KeyUnknown {
+		return item(jaygw.RefusedState, "the key is settled as %s", record.Outcome)
+	}
+	next := *record
+	next.Outcome = s.Outcome
+	next.Response = s.Response
+	next.Settled = m.state.Time
+	if m.keyBytesAfter(record, &next) > m.limits.KeyBytes {
+		// The outcome is kept without the response: a resend then learns that
+		// the request has run, never runs it again.
+		next.Outcome = jaygw.KeyUnknown
+		next.Response = nil
+	}
+	m.putKey(record, &next)
+	return jaygw.ItemResult{}
+}
+
+func (m *Machine) putKey(old, next *jaygw.KeyRecord) {
+	m.index.keyBytes = m.keyBytesAfter(old, next)
+	m.state.Keys[next.Claim.Key] = next
+}
+
+func (m *Machine) keyBytesAfter(old, next *jaygw.KeyRecord) int {
+	return m.index.keyBytes - recordBytes(old) + recordBytes(next)
+}
+
+func recordBytes(r *jaygw.KeyRecord) int {
+	if r == nil {
+		return 0
+	}
+	size := recordOverhead + len(r.Claim.Key) + len(r.Claim.Digest) + len(r.Claim.Entry) + len(r.Claim.Request)
+	if r.Response != nil {
+		size += len(r.Response.Body)
+		for _, field := range r.Response.Header {
+			size += len(field[0]) + len(field[1])
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/internal/control/applier/machine.go
@@ -0,0 +1,153 @@
+// Package applier is the deterministic state machine of a control group. It
+// applies committed commands to documents, failure domains, VMs, jobs, tasks,
+// quotas and idempotency keys.
+package applier
+
+import (
+	"github.com/jaygw/jaygw"
+)
+
+type (
+	// Machine applies commands to a State. Objects in the state are never
+	// changed in place: a change replaces them, so that a snapshot may be encoded
+	// while later commands are applied. A Machine is not safe for concurrent use.
+	Machine struct {
+		group     string
+		limits    Limits
+		state     *State
+		index     *index
+		observers []jaygw.Observer
+	}
+
+	// Limits bounds the tables of the state. A full table refuses new entries.
+	Limits struct {
+		Trials   int // documents on trial per environment
+		Records  int // records of earlier documents per environment
+		VMs      int
+		Jobs     int // including finished ones
+		Tasks    int
+		Keys     int
+		KeyBytes int // stored responses in total
+		Clients  int
+	}
+
+	// Option changes a new Machine.
+	Option func(*Machine)
+)
+
+var _ jaygw.StateMachine = (*Machine)(nil)
+
+// DefaultLimits carries the target size with a margin of two.
+func DefaultLimits() Limits {
+	return Limits{
+		Trials:   16,
+		Records:  4096,
+		VMs:      5_000,
+		Jobs:     50_000,
+		Tasks:    150_000,
+		Keys:     200_000,
+		KeyBytes: 64 << 20,
+		Clients:  50_000,
+	}
+}
+
+// WithLimits replaces the table limits.
+func WithLimits(limits Limits) Option {
+	return func(m *Machine) { m.limits = limits }
+}
+
+// WithObserver adds an observer of applied changes.
+func WithObserver(observer jaygw.Observer) Option {
+	return func(m *Machine) { m.Observe(observer) }
+}
+
+// New returns a machine with an empty state for one control group.
+func New(group string, options ...Option) *Machine {
+	m := &Machine{group: group, limits: DefaultLimits(), state: newState()}
+	for _, option := range options {
+		option(m)
+	}
+	m.index = newIndex(m.state)
+	return m
+}
+
+// Observe adds an observer of applied changes and resets it.
+func (m *Machine) Observe(observer jaygw.Observer) {
+	m.observers = append(m.observers, observer)
+	observer.Reset()
+}
+
+// State returns the current state. It is valid until the next Apply or Restore;
+// the objects in it are never changed in place.
+func (m *Machine) State() *State { return m.state }
+
+// TasksOn returns the ids of the tasks that hold resources on a VM, sorted.
+func (m *Machine) TasksOn(vm string) []jaygw.TaskID { return m.index.tasksOn(vm) }
+
+// TasksOf returns the ids of the tasks of a service or job, sorted.
+func (m *Machine) TasksOf(environment, owner string) []jaygw.TaskID {
+	return m.index.tasksOf(ownerKey(environment, owner))
+}
+
+// Apply applies one committed command and returns its result. A resend gets the
+// result of the first command with its client and sequence.
+func (m *Machine) Apply(index jaygw.Index, command jaygw.Command) jaygw.Result {
+	m.state.Index = index
+	m.state.Time = max(m.state.Time, command.Time)
+	m.expire()
+
+	if command.Group != "" && command.Group != m.group {
+		return m.refused(index, jaygw.Refuse(jaygw.RefusedInvalid,
+			"command for control group %q reached group %q", command.Group, m.group))
+	}
+	if stored, found := m.storedResult(command); found {
+		return stored
+	}
+	if refusal, full := m.clientTableFull(command); full {
+		return m.refused(index, refusal)
+	}
+	result := m.dispatch(command)
+	result.Index = index
+	m.storeResult(command, result)
+	return result
+}
+
+func (m *Machine) refused(index jaygw.Index, result jaygw.Result) jaygw.Result {
+	result.Index = index
+	return result
+}
+
+func (m *Machine) dispatch(c jaygw.Command) jaygw.Result {
+	switch {
+	case c.Submit != nil:
+		return m.submitDocument(*c.Submit)
+	case c.Promote != nil:
+		return m.promoteDocument(*c.Promote)
+	case c.SetDomain != nil:
+		return m.setDomain(*c.SetDomain)
+	case c.AnnounceVM != nil:
+		return m.announceVM(c.AnnounceVM.VM)
+	case c.ExpireVM != nil:
+		return m.expireVM(*c.ExpireVM)
+	case c.RemoveVM != nil:
+		return m.removeVM(*c.RemoveVM)
+	case c.SubmitJob != nil:
+		return m.submitJob(c.SubmitJob.Spec)
+	case c.CancelJob != nil:
+		return m.cancelJob(*c.CancelJob)
+	case c.Grant != nil:
+		return m.grantTasks(*c.Grant)
+	case c.Report != nil:
+		return m.reportTasks(*c.Report)
+	case c.Evict != nil:
+		return m.evictTasks(*c.Evict)
+	case c.Resize != nil:
+		return m.resizeTasks(*c.Resize)
+	case c.Claim != nil:
+		return m.claimKeys(*c.Claim)
+	case c.Settle != nil:
+		return m.settleKeys(*c.Settle)
+	default:
+		return jaygw.Result{} // a barrier
+	}
+}
--- /dev/null
+++ b/internal/control/applier/machine_test.go
@@ -0,0 +1,151 @@
+package applier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/applier"
+	"github.com/stretchr/testify/require"
+)
+
+// log applies commands with rising indexes and times.
+type log struct {
+	t       *testing.T
+	machine *applier.Machine
+	index   jaygw.Index
+	now     jaygw.Time
+}
+
+func newLog(t *testing.T) *log {
+	l := &log{t: t, machine: applier.New("main"), now: 1}
+	quota := jaygw.Resources{CPU: 100 * jaygw.Core, Memory: 100 * jaygw.GB}
+	document := jaygw.Document{
+		Environment: "print", Number: 1,
+		Domains: []jaygw.DomainSpec{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Teams:   []jaygw.TeamSpec{{Name: "press", Quota: quota}},
+	}
+	l.accept(jaygw.Command{Submit: &jaygw.SubmitDocument{Document: document, Digest: "d1"}})
+	l.accept(jaygw.Command{Promote: &jaygw.PromoteDocument{Environment: "print", Digest: "d1"}})
+	for _, domain := range []string{"a", "b"} {
+		l.accept(jaygw.Command{AnnounceVM: &jaygw.AnnounceVM{VM: jaygw.VM{
+			Name: "vm-" + domain, Domain: domain, Incarnation: 1,
+			Size: jaygw.Resources{CPU: 4 * jaygw.Core, Memory: 8 * jaygw.GB},
+		}}})
+	}
+	l.accept(jaygw.Command{SubmitJob: &jaygw.SubmitJob{Spec: jaygw.JobSpec{
+		Name: "plates", Environment: "print", Team: "press", Tasks: 3, RunTime: jaygw.Duration(time.Minute),
+		Resources: jaygw.Resources{CPU: 2 * jaygw.Core, Memory: jaygw.GB},
+	}}})
+	return l
+}
+
+func (l *log) apply(c jaygw.Command) jaygw.Result {
+	l.index++
+	l.now += jaygw.Time(time.Second)
+	c.Time = l.now
+	return l.machine.Apply(l.index, c)
+}
+
+func (l *log) accept(c jaygw.Command) jaygw.Result {
+	l.t.Helper()
+	result := l.apply(c)
+	require.NoError(l.t, result.Err())
+	for _, item := range result.Results {
+		require.Empty(l.t, item.Code, item.Detail)
+	}
+	return result
+}
+
+func (l *log) grant(task jaygw.TaskID, after jaygw.Epoch, vm string) jaygw.ItemResult {
+	return l.apply(jaygw.Command{Grant: &jaygw.GrantTasks{Grants: []jaygw.Grant{{
+		Task: task, After: after, VM: vm, Incarnation: 1,
+		Reserve: jaygw.Resources{CPU: 2 * jaygw.Core, Memory: jaygw.GB},
+	}}}}).Results[0]
+}
+
+func (l *log) report(vm string, kind jaygw.ReportKind, task jaygw.TaskID, epoch jaygw.Epoch) jaygw.ItemResult {
+	return l.apply(jaygw.Command{Report: &jaygw.ReportTasks{VM: vm, Incarnation: 1, Reports: []jaygw.Report{{
+		Attempt: jaygw.Attempt{Task: task, Epoch: epoch}, Kind: kind,
+	}}}}).Results[0]
+}
+
+// A decision made from an old state must not overcommit a VM.
+func TestGrantRefusesOvercommitment(t *testing.T) {
+	l := newLog(t)
+	require.Empty(t, l.grant("print/plates/0", 0, "vm-a").Code)
+	require.Empty(t, l.grant("print/plates/1", 0, "vm-a").Code)
+	require.Equal(t, jaygw.RefusedCapacity, l.grant("print/plates/2", 0, "vm-a").Code)
+}
+
+// A task whose attempt may still run must not be granted a second time.
+func TestGrantRefusesASecondAttempt(t *testing.T) {
+	l := newLog(t)
+	require.Equal(t, jaygw.Epoch(1), l.grant("print/plates/0", 0, "vm-a").Epoch)
+	require.Equal(t, jaygw.RefusedState, l.grant("print/plates/0", 0, "vm-b").Code)
+	require.Equal(t, jaygw.RefusedState, l.grant("print/plates/0", 1, "vm-b").Code)
+}
+
+// A start granted after the domain was taken out would break the promise to
+// operators.
+func TestGrantRefusesADomainThatIsOut(t *testing.T) {
+	l := newLog(t)
+	l.accept(jaygw.Command{SetDomain: &jaygw.SetDomain{Name: "a", Out: true}})
+	require.Equal(t, jaygw.RefusedDomainOut, l.grant("print/plates/0", 0, "vm-a").Code)
+}
+
+// A completion that crosses an eviction must count once, and a completion of an
+// older epoch never.
+func TestCompletionCountsOnce(t *testing.T) {
+	l := newLog(t)
+	l.grant("print/plates/0", 0, "vm-a")
+	l.accept(jaygw.Command{Evict: &jaygw.EvictTasks{Evictions: []jaygw.Eviction{{
+		Attempt: jaygw.Attempt{Task: "print/plates/0", Epoch: 1}, Reason: "test",
+	}}}})
+	require.Empty(t, l.report("vm-a", jaygw.Stopped, "print/plates/0", 1).Code)
+	require.Equal(t, jaygw.Epoch(2), l.grant("print/plates/0", 1, "vm-b").Epoch)
+	require.Equal(t, jaygw.RefusedEpoch, l.report("vm-a", jaygw.Completed, "print/plates/0", 1).Code)
+	require.Empty(t, l.report("vm-b", jaygw.Completed, "print/plates/0", 2).Code)
+	require.Equal(t, jaygw.RefusedState, l.report("vm-b", jaygw.Completed, "print/plates/0", 2).Code)
+	require.Equal(t, 1, l.machine.State().Jobs["print/plates"].Done)
+	require.True(t, l.machine.State().VMs["vm-a"].Committed.IsZero())
+}
+
+// A resend after a lost response must get the first result.
+func TestResendGetsTheFirstResult(t *testing.T) {
+	l := newLog(t)
+	c := jaygw.Command{Client: "operator-1", Sequence: 1, SetDomain: &jaygw.SetDomain{Name: "a", Out: true}}
+	first := l.apply(c)
+	require.Equal(t, first, l.apply(c))
+}
+
+// Two operators with the same document number must not both succeed.
+func TestEqualNumbersConflict(t *testing.T) {
+	l := newLog(t)
+	document := jaygw.Document{Environment: "print", Number: 2}
+	l.accept(jaygw.Command{Submit: &jaygw.SubmitDocument{Document: document, Digest: "d2", Author: "ana"}})
+	refused := l.apply(jaygw.Command{Submit: &jaygw.SubmitDocument{Document: document, Digest: "d3", Author: "ion"}})
+	require.Equal(t, jaygw.RefusedConflict, refused.Refusal.Code)
+	require.Contains(t, refused.Refusal.Detail, "ana")
+	require.Contains(t, refused.Refusal.Detail, "d2")
+	require.Contains(t, refused.Refusal.Detail, "d3")
+}
+
+// Two replicas that apply the same log must have equal snapshots.
+func TestSnapshotsOfEqualLogsAreEqual(t *testing.T) {
+	var snapshots [][]byte
+	for range 2 {
+		l := newLog(t)
+		l.grant("print/plates/0", 0, "vm-a")
+		l.grant("print/plates/1", 0, "vm-b")
+		data, err := l.machine.Snapshot()()
+		require.NoError(t, err)
+		snapshots = append(snapshots, data)
+		restored := applier.New("main")
+		require.NoError(t, restored.Restore(data))
+		again, err := restored.Snapshot()()
+		require.NoError(t, err)
+		require.Equal(t, data, again)
+	}
+	require.Equal(t, snapshots[0], snapshots[1])
+}
--- /dev/null
+++ b/internal/daemon/launcher/launcher.go
@@ -0,0 +1,183 @@
+// Package launcher builds jaygw's daemons from their settings and runs them.
+package launcher
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/recorder"
+	"github.com/jaygw/jaygw/internal/wire/dialer"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+)
+
+type (
+	// Process is one daemon.
+	Process struct {
+		settings  jaygw.Settings
+		listeners Listeners
+		log       *logrus.Logger
+		recorder  *recorder.Recorder
+		dialer    *dialer.Dialer
+		mux       *drpcmux.Mux
+		group     *errgroup.Group
+	}
+
+	// Listeners are the sockets of a process; nil ones are opened from the
+	// settings.
+	Listeners struct {
+		Callers   net.Listener
+		Operators net.Listener
+		Processes net.Listener
+	}
+
+	// Option changes a new Process.
+	Option func(*Process)
+)
+
+const (
+	headerTimeout       = 10 * time.Second
+	idleTimeout         = 2 * time.Minute
+	defaultDrain        = 30 * time.Second
+	defaultBalancerWait = 5 * time.Second
+	defaultHeaderBytes  = 64 << 10
+)
+
+// WithListeners passes sockets that are open already.
+func WithListeners(listeners Listeners) Option {
+	return func(p *Process) { p.listeners = listeners }
+}
+
+// WithLogger replaces the logger.
+func WithLogger(log *logrus.Logger) Option {
+	return func(p *Process) { p.log = log }
+}
+
+// New returns a process with these settings, which have been checked.
+func New(settings jaygw.Settings, options ...Option) *Process {
+	p := &Process{
+		settings: settings,
+		recorder: recorder.New(settings.Name, settings.Domain),
+		dialer:   dialer.New(),
+		mux:      drpcmux.New(),
+	}
+	for _, option := range options {
+		option(p)
+	}
+	if p.log == nil {
+		p.log = NewLogger(settings.Log)
+	}
+	return p
+}
+
+// Run runs the process in a role until the context ends and everything in flight
+// has finished.
+func (p *Process) Run(ctx context.Context, role jaygw.Role) error {
+	if err := p.open(); err != nil {
+		return err
+	}
+	defer p.dialer.Close()
+	p.group, ctx = errgroup.WithContext(ctx)
+	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
+	var err error
+	switch role {
+	case jaygw.RoleAgent:
+		err = p.startAgent(ctx)
+	case jaygw.RoleEntry:
+		err = p.startEntry(ctx)
+	default:
+		err = p.startReplica(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	p.group.Go(func() error { return dialer.Serve(ctx, p.listeners.Processes, p.mux) })
+	p.log.Infof("%s: started as %s, processes at %s", role, p.settings.Name, p.listeners.Processes.Addr())
+	err = p.group.Wait()
+	p.log.Infof("%s: stopped", role)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (p *Process) open() error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&p.listeners.Callers, p.settings.Listen.Callers},
+		{&p.listeners.Operators, p.settings.Listen.Operators},
+		{&p.listeners.Processes, p.settings.Listen.Processes},
+	} {
+		if *l.listener != nil || l.address == "" {
+			continue
+		}
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen at %s", l.address)
+		}
+		*l.listener = listener
+	}
+	return nil
+}
+
+// serveHTTP serves until the context ends, then calls drain and finishes the
+// requests in flight.
+func (p *Process) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, drain func()) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    orDefault(p.settings.Limits.HeaderBytes, defaultHeaderBytes),
+	}
+	p.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve HTTP")
+		}
+		return nil
+	})
+	p.group.Go(func() error {
+		<-ctx.Done()
+		drain()
+		limit := orDefault(p.settings.Limits.DrainTimeout.Std(), defaultDrain)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+		defer cancel()
+		return eris.Wrap(server.Shutdown(ctx), "drain HTTP")
+	})
+}
+
+// Address returns the address at which other processes reach this one.
+func (p *Process) address() string {
+	if p.settings.Advertise != "" {
+		return p.settings.Advertise
+	}
+	return p.listeners.Processes.Addr().String()
+}
+
+// NewLogger returns a logger for these settings.
+func NewLogger(settings jaygw.LogSettings) *logrus.Logger {
+	log := logrus.New()
+	if settings.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	}
+	if level, err := logrus.ParseLevel(settings.Level); err == nil {
+		log.SetLevel(level)
+	}
+	return log
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/daemon/launcher/replica.go
@@ -0,0 +1,45 @@
+package launcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/applier"
+	"github.com/jaygw/jaygw/internal/control/coordinator"
+	"github.com/jaygw/jaygw/internal/control/server"
+	"github.com/jaygw/jaygw/internal/operator/responder"
+	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
+	"github.com/jaygw/jaygw/internal/wire/messenger"
+)
+
+// startReplica starts a replica of the control state with the scheduler that
+// works when the replica leads.
+func (p *Process) startReplica(ctx context.Context) error {
+	control := p.settings.Control
+	scheduling := dispatcher.New(dispatcher.WithLogger(p.log))
+	machine := applier.New(p.settings.Group,
+		applier.WithObserver(scheduling.Observer()),
+		applier.WithObserver(&narrator{recorder: p.recorder}))
+	self := jaygw.Member{ID: control.ID, Name: p.settings.Name, Address: p.address(), Domain: p.settings.Domain, Voter: true}
+	replica, err := coordinator.Open(
+		coordinator.Settings{Group: p.settings.Group, Self: self, Folder: control.DataFolder},
+		machine,
+		coordinator.WithLeadershipHook(func(l coordinator.Leadership) {
+			scheduling.Lead(l.Term, l.Leads, time.Now())
+			if l.Leads {
+				p.recorder.Record(jaygw.EventLeader, "elected", "member:"+self.Name)
+			}
+		}))
+	if err != nil {
+		return err
+	}
+	scheduling.Serve(replica)
+	if err := messenger.DRPCRegisterGroup(p.mux, server.New(p.settings.Group, replica, scheduling)); err != nil {
+		return err
+	}
+	p.group.Go(func() error { return replica.Run(ctx) })
+	p.group.Go(func() error { return scheduling.Run(ctx) })
+	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.recorder).Handler(), func() {})
+	return nil
+}
--- /dev/null
+++ b/internal/operator/commander/estate.go
@@ -0,0 +1,152 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/checker"
+	"github.com/jaygw/jaygw/internal/operator/responder"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func (c *Commander) addEstate() {
+	root := &c.parser.Subcommand
+	c.add(root, "status", "show the estate", c.status)
+	c.add(root, "timeline", "show what happened", c.timeline)
+	c.add(root, "version", "show the version", func(context.Context) error {
+		return c.print(map[string]string{"version": version}, func(t *text) { t.line("jaygw %s", version) })
+	})
+
+	domain := c.add(root, "domain", "take a failure domain out, or return it", nil)
+	for _, way := range []string{"out", "in"} {
+		command := c.add(domain, way, map[string]string{
+			"out": "take a failure domain out", "in": "return a failure domain",
+		}[way], func(ctx context.Context) error { return c.setDomain(ctx, way == "out") })
+		command.AddPositionalValue(&c.options.Name, "name", 1, true, "failure domain")
+	}
+
+	job := c.add(root, "job", "submit, show or cancel batch jobs", nil)
+	submit := c.add(job, "submit", "submit a batch job", c.submitJob)
+	submit.AddPositionalValue(&c.options.File, "file", 1, true, "job")
+	show := c.add(job, "show", "show a batch job", c.showJob)
+	show.AddPositionalValue(&c.options.Name, "id", 1, true, "environment/name")
+	cancel := c.add(job, "cancel", "cancel a batch job", c.cancelJob)
+	cancel.AddPositionalValue(&c.options.Name, "id", 1, true, "environment/name")
+}
+
+func (c *Commander) setDomain(ctx context.Context, out bool) error {
+	response, err := c.client().SetDomain(ctx, c.options.Name, out)
+	way := "in"
+	if out {
+		way = "out"
+	}
+	return c.printChange(response, err, fmt.Sprintf("failure domain %s is %s", c.options.Name, way))
+}
+
+func (c *Commander) submitJob(ctx context.Context) error {
+	spec, err := readFile(c.options.File, checker.Job)
+	if err != nil {
+		return err
+	}
+	response, err := c.client().SubmitJob(ctx, spec)
+	return c.printChange(response, err, fmt.Sprintf("job %s/%s is accepted", spec.Environment, spec.Name))
+}
+
+func (c *Commander) jobID() (environment, name string, err error) {
+	environment, name, ok := strings.Cut(c.options.Name, "/")
+	if !ok {
+		return "", "", &usageError{fmt.Errorf("%q is not of the form environment/name", c.options.Name)}
+	}
+	return environment, name, nil
+}
+
+func (c *Commander) showJob(ctx context.Context) error {
+	environment, name, err := c.jobID()
+	if err != nil {
+		return err
+	}
+	job, err := c.client().Job(ctx, environment, name)
+	if err != nil {
+		return err
+	}
+	return c.print(job, func(t *text) { writeJob(t, job) })
+}
+
+func (c *Commander) cancelJob(ctx context.Context) error {
+	environment, name, err := c.jobID()
+	if err != nil {
+		return err
+	}
+	response, err := c.client().CancelJob(ctx, environment, name)
+	return c.printChange(response, err, fmt.Sprintf("job %s is being canceled", c.options.Name))
+}
+
+func (c *Commander) status(ctx context.Context) error {
+	status, err := c.client().Status(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(status, func(t *text) { writeStatus(t, status) })
+}
+
+func (c *Commander) timeline(ctx context.Context) error {
+	events, err := c.client().Timeline(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(events, func(t *text) {
+		for _, e := range events {
+			t.line("%s\t%s\t%s\t%s\t%s", e.Clock.Wall.Std().Format("15:04:05.000000"), e.Process, e.Kind,
+				strings.Join(e.Subjects, " "), e.Cause)
+		}
+	})
+}
+
+func writeJob(t *text, job responder.JobStatus) {
+	t.line("job %s/%s is %s: %d of %d tasks done, %d failed, %d canceled %s",
+		job.Environment, job.Name, job.State, job.Done, job.Tasks, job.Failed, job.Canceled, job.Reason)
+	for _, task := range job.Open {
+		t.line("%s\t%s\t%s\tepoch %d\tprogress %s\t%s", task.ID, task.State, task.VM, task.Epoch,
+			task.Checkpoint.Progress.Std(), task.Reason)
+	}
+}
+
+func writeStatus(t *text, s responder.StatusResponse) {
+	t.line("control group %s: replica %d, leader %d, term %d, index %d", s.Replica.Group, s.Replica.ID, s.Replica.Leader, s.Replica.Term, s.Index)
+	for _, m := range s.Replica.Members {
+		t.line("  member %d\t%s\t%s\t%s\tvoter %t", m.ID, m.Name, m.Address, m.Domain, m.Voter)
+	}
+	for _, e := range s.Environments {
+		if e.InForce == nil {
+			t.line("environment %s: no document in force", e.Name)
+		} else {
+			t.line("environment %s: document %d in force, digest %.12s", e.Name, e.InForce.Number, e.InForce.Digest)
+		}
+		for _, d := range e.Trials {
+			t.line("  on trial: document %d, digest %s, by %s", d.Number, d.Digest, d.Author)
+		}
+	}
+	for _, d := range s.Domains {
+		t.line("failure domain %s\t%s", d.Name, map[bool]string{true: "out", false: "in"}[d.Out])
+	}
+	for _, vm := range s.VMs {
+		t.line("VM %s\t%s\t%s of %s", vm.Name, vm.Domain, amount(vm.Committed), amount(vm.Size))
+	}
+	for _, team := range s.Teams {
+		t.line("team %s/%s\t%s of %s", team.Environment, team.Name, amount(team.Used), amount(team.Quota))
+	}
+	for _, job := range s.Jobs {
+		writeJob(t, job)
+	}
+	for _, state := range []jaygw.TaskState{jaygw.Waiting, jaygw.Granted, jaygw.Running, jaygw.Stopping} {
+		t.line("tasks %s\t%d", state, s.Tasks[string(state)])
+	}
+}
+
+func amount(r jaygw.Resources) string {
+	return fmt.Sprintf("%.1f cores, %.1f GB, %d accelerators", float64(r.CPU)/float64(jaygw.Core), float64(r.Memory)/float64(jaygw.GB), r.Accelerators)
+}
--- /dev/null
+++ b/internal/operator/responder/responder.go
@@ -0,0 +1,191 @@
+// Package responder serves the operators' HTTP interface.
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/checker"
+	"github.com/jaygw/jaygw/internal/config/decoder"
+	"github.com/jaygw/jaygw/internal/control/applier"
+	"github.com/jaygw/jaygw/internal/operator/planner"
+)
+
+type (
+	// Replica is the part of a control replica that the responder needs.
+	Replica interface {
+		jaygw.Control
+		// Read calls a function with the state machine between two commands.
+		Read(func(*applier.Machine))
+	}
+
+	// Timeline returns the events of this process.
+	Timeline interface {
+		Events(since uint64) []jaygw.Event
+	}
+
+	// Responder answers operators from one replica.
+	Responder struct {
+		replica  Replica
+		timeline Timeline
+	}
+)
+
+const (
+	requestTimeout  = 5 * time.Second
+	maxRequestBytes = 8 << 20
+)
+
+// New returns the responder of a replica.
+func New(replica Replica, timeline Timeline) *Responder {
+	return &Responder{replica: replica, timeline: timeline}
+}
+
+// Handler returns the operators' HTTP interface.
+func (s *Responder) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/documents", s.submit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/documents/promote", s.promote).Methods(http.MethodPost)
+	r.HandleFunc("/v1/plan", s.plan).Methods(http.MethodPost)
+	r.HandleFunc("/v1/domains/{name}/{way:out|in}", s.setDomain).Methods(http.MethodPost)
+	r.HandleFunc("/v1/jobs", s.submitJob).Methods(http.MethodPost)
+	r.HandleFunc("/v1/jobs/{environment}/{name}", s.showJob).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{environment}/{name}/cancel", s.cancelJob).Methods(http.MethodPost)
+	r.HandleFunc("/v1/status", s.status).Methods(http.MethodGet)
+	r.HandleFunc("/v1/timeline", s.events).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Responder) submit(w http.ResponseWriter, r *http.Request) {
+	var q SubmitRequest
+	if !read(w, r, &q) {
+		return
+	}
+	data, err := json.Marshal(q.Document)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	if _, findings := checker.Document("", data); len(findings) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, ErrorResponse{Error: "the document is not valid", Findings: findings})
+		return
+	}
+	s.change(w, r, jaygw.Command{Submit: &jaygw.SubmitDocument{
+		Document: q.Document, Digest: checker.Digest(q.Document), Author: q.Author,
+	}})
+}
+
+func (s *Responder) promote(w http.ResponseWriter, r *http.Request) {
+	var q PromoteRequest
+	if read(w, r, &q) {
+		s.change(w, r, jaygw.Command{Promote: &jaygw.PromoteDocument{
+			Environment: q.Environment, Digest: q.Digest, Author: q.Author,
+		}})
+	}
+}
+
+func (s *Responder) plan(w http.ResponseWriter, r *http.Request) {
+	var q SubmitRequest
+	if !read(w, r, &q) || !s.confirm(w, r) {
+		return
+	}
+	response := PlanResponse{Environment: q.Document.Environment, Digest: checker.Digest(q.Document)}
+	s.replica.Read(func(machine *applier.Machine) {
+		var inForce *jaygw.Document
+		if e, ok := machine.State().Environments[q.Document.Environment]; ok && e.InForce != nil {
+			inForce = &e.InForce.Document
+			response.InForce = e.InForce.Digest
+		}
+		response.Changes = planner.Plan(inForce, q.Document)
+	})
+	writeJSON(w, http.StatusOK, response)
+}
+
+func (s *Responder) setDomain(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	s.change(w, r, jaygw.Command{SetDomain: &jaygw.SetDomain{Name: vars["name"], Out: vars["way"] == "out"}})
+}
+
+func (s *Responder) submitJob(w http.ResponseWriter, r *http.Request) {
+	var spec jaygw.JobSpec
+	if read(w, r, &spec) {
+		s.change(w, r, jaygw.Command{SubmitJob: &jaygw.SubmitJob{Spec: spec}})
+	}
+}
+
+func (s *Responder) cancelJob(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	s.change(w, r, jaygw.Command{CancelJob: &jaygw.CancelJob{Environment: vars["environment"], Name: vars["name"]}})
+}
+
+func (s *Responder) events(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	writeJSON(w, http.StatusOK, s.timeline.Events(since))
+}
+
+// change proposes a command and writes its result.
+func (s *Responder) change(w http.ResponseWriter, r *http.Request, command jaygw.Command) {
+	command.Client = r.Header.Get(HeaderClient)
+	command.Sequence, _ = strconv.ParseUint(r.Header.Get(HeaderSequence), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	result, err := s.replica.Propose(ctx, command)
+	if err != nil {
+		writeError(w, statusOf(err), err)
+		return
+	}
+	status := http.StatusOK
+	if result.Refusal != nil {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, ChangeResponse{
+		Index: result.Index, Digest: result.Digest, Already: result.Already, Refusal: result.Refusal,
+	})
+}
+
+// confirm makes sure that the replica's state is current.
+func (s *Responder) confirm(w http.ResponseWriter, r *http.Request) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	if _, err := s.replica.Confirm(ctx); err != nil {
+		writeError(w, statusOf(err), err)
+		return false
+	}
+	return true
+}
+
+func statusOf(err error) int {
+	if errors.Is(err, jaygw.ErrOutcomeUnknown) {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+func read(w http.ResponseWriter, r *http.Request, target any) bool {
+	var data json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&data); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return false
+	}
+	if findings := decoder.Decode("", data, target); len(findings) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, ErrorResponse{Error: "the request is not valid", Findings: findings})
+		return false
+	}
+	return true
+}
+
+func writeError(w http.ResponseWriter, status int, err error) {
+	writeJSON(w, status, ErrorResponse{Error: err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/platform/emulator/emulator.go
@@ -0,0 +1,293 @@
+// Package emulator is a stand-in for the platform's worker on one VM: it runs
+// tasks under leases and answers requests of the services that run on it.
+package emulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jaygw/jaygw"
+)
+
+type (
+	// Worker is a stand-in worker. Tasks are timers; nothing is computed.
+	Worker struct {
+		now  func() time.Time
+		size jaygw.Resources
+
+		mu      sync.Mutex
+		tasks   map[jaygw.Attempt]*task
+		fences  map[jaygw.TaskID]jaygw.Epoch // stopped epochs never start again
+		history []Run
+		failing bool
+	}
+
+	task struct {
+		permit     jaygw.Permit
+		started    time.Time
+		base       time.Duration // progress at the start
+		percent    int           // throttle
+		throttled  time.Time     // last change of percent
+		leaseEnd   time.Time
+		state      jaygw.WorkerTaskState
+		checkpoint jaygw.Checkpoint
+		run        int // index in history
+	}
+
+	// Run is one attempt that was started, for the checks of tests.
+	Run struct {
+		Attempt  jaygw.Attempt
+		Kind     jaygw.TaskKind
+		From     time.Duration // progress that it started from
+		Start    time.Time
+		End      time.Time // zero while it runs
+		Complete bool
+	}
+
+	// Option changes a new Worker.
+	Option func(*Worker)
+)
+
+const fullSpeed = 100
+
+var (
+	_ jaygw.Worker = (*Worker)(nil)
+
+	// ErrFenced is returned for the start of an attempt that was stopped before.
+	ErrFenced = errors.New("the attempt was stopped before it started")
+	// ErrNotRunning is returned for attempts that do not run.
+	ErrNotRunning = errors.New("the attempt does not run")
+	// ErrBroken is returned by a worker that fails everything.
+	ErrBroken = errors.New("the worker cannot start tasks")
+)
+
+// WithClock replaces the clock.
+func WithClock(now func() time.Time) Option {
+	return func(w *Worker) { w.now = now }
+}
+
+// New returns a worker of a VM with this size.
+func New(size jaygw.Resources, options ...Option) *Worker {
+	w := &Worker{
+		now:    time.Now,
+		size:   size,
+		tasks:  map[jaygw.Attempt]*task{},
+		fences: map[jaygw.TaskID]jaygw.Epoch{},
+	}
+	for _, option := range options {
+		option(w)
+	}
+	return w
+}
+
+// Fail makes every later start fail, or succeed again.
+func (w *Worker) Fail(failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = failing
+}
+
+// History returns all attempts that were ever started.
+func (w *Worker) History() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return slices.Clone(w.history)
+}
+
+// Start runs an attempt.
+func (w *Worker) Start(_ context.Context, permit jaygw.Permit, lease time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if w.failing {
+		return ErrBroken
+	}
+	id := permit.Attempt
+	if epoch, fenced := w.fences[id.Task]; fenced && id.Epoch <= epoch {
+		return ErrFenced
+	}
+	if _, known := w.tasks[id]; known {
+		return nil
+	}
+	now := w.now()
+	w.tasks[id] = &task{
+		permit: permit, started: now, throttled: now, base: permit.Checkpoint.Progress.Std(),
+		percent: fullSpeed, leaseEnd: now.Add(lease), state: jaygw.WorkerRunning,
+		checkpoint: permit.Checkpoint, run: len(w.history),
+	}
+	w.history = append(w.history, Run{Attempt: id, Kind: permit.Kind, From: permit.Checkpoint.Progress.Std(), Start: now})
+	return nil
+}
+
+// Extend renews the leases of a kind.
+func (w *Worker) Extend(_ context.Context, kind jaygw.TaskKind, lease time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	end := w.now().Add(lease)
+	for _, t := range w.tasks {
+		if t.state == jaygw.WorkerRunning && t.permit.Kind == kind && end.After(t.leaseEnd) {
+			t.leaseEnd = end
+		}
+	}
+	return nil
+}
+
+// Checkpoint records the progress of an attempt.
+func (w *Worker) Checkpoint(_ context.Context, id jaygw.Attempt) (jaygw.Checkpoint, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	t, ok := w.tasks[id]
+	if !ok || t.state != jaygw.WorkerRunning {
+		return jaygw.Checkpoint{}, ErrNotRunning
+	}
+	w.checkpoint(t)
+	return t.checkpoint, nil
+}
+
+// Throttle changes the speed of an attempt.
+func (w *Worker) Throttle(_ context.Context, id jaygw.Attempt, percent int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	t, ok := w.tasks[id]
+	if !ok || t.state != jaygw.WorkerRunning {
+		return ErrNotRunning
+	}
+	now := w.now()
+	t.base = t.progress(now)
+	t.throttled = now
+	t.percent = percent
+	return nil
+}
+
+// Stop checkpoints and ends an attempt. A stopped attempt never starts again.
+func (w *Worker) Stop(_ context.Context, id jaygw.Attempt) (jaygw.Checkpoint, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	w.fences[id.Task] = max(w.fences[id.Task], id.Epoch)
+	t, ok := w.tasks[id]
+	if !ok {
+		return jaygw.Checkpoint{}, nil
+	}
+	if t.state == jaygw.WorkerRunning {
+		w.checkpoint(t)
+		w.end(t, jaygw.WorkerStopped, w.now())
+	}
+	return t.checkpoint, nil
+}
+
+// List returns the attempts, in the order of their tasks.
+func (w *Worker) List(context.Context) ([]jaygw.WorkerTask, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	var list []jaygw.WorkerTask
+	for id, t := range w.tasks {
+		list = append(list, jaygw.WorkerTask{
+			Attempt: id, Kind: t.permit.Kind, Service: t.permit.Service, State: t.state, Checkpoint: t.checkpoint,
+		})
+	}
+	slices.SortFunc(list, func(a, b jaygw.WorkerTask) int {
+		return strings.Compare(fmt.Sprint(a.Attempt), fmt.Sprint(b.Attempt))
+	})
+	return list, nil
+}
+
+// Forget drops an ended attempt.
+func (w *Worker) Forget(_ context.Context, id jaygw.Attempt) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t, ok := w.tasks[id]; ok && t.state != jaygw.WorkerRunning {
+		delete(w.tasks, id)
+	}
+	return nil
+}
+
+// Usage reports the declared size of each running attempt, scaled by its
+// throttle.
+func (w *Worker) Usage(context.Context) ([]jaygw.Usage, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	var usage []jaygw.Usage
+	for id, t := range w.tasks {
+		if t.state != jaygw.WorkerRunning {
+			continue
+		}
+		used := t.permit.Size
+		used.CPU = used.CPU * jaygw.MilliCores(t.percent) / fullSpeed
+		usage = append(usage, jaygw.Usage{Attempt: id, Used: used})
+	}
+	return usage, nil
+}
+
+// Serves reports whether a replica of the service runs here.
+func (w *Worker) Serves(service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	for _, t := range w.tasks {
+		if t.state == jaygw.WorkerRunning && t.permit.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// advance ends attempts that have completed or whose lease is over.
+func (w *Worker) advance() {
+	now := w.now()
+	for _, t := range w.tasks {
+		if t.state != jaygw.WorkerRunning {
+			continue
+		}
+		done, completes := t.completion()
+		switch {
+		case completes && !done.After(now) && !done.After(t.leaseEnd):
+			w.end(t, jaygw.WorkerCompleted, done)
+		case !now.Before(t.leaseEnd):
+			w.end(t, jaygw.WorkerStopped, t.leaseEnd)
+		}
+	}
+}
+
+func (w *Worker) end(t *task, state jaygw.WorkerTaskState, at time.Time) {
+	t.state = state
+	w.history[t.run].End = at
+	w.history[t.run].Complete = state == jaygw.WorkerCompleted
+}
+
+func (w *Worker) checkpoint(t *task) {
+	if t.permit.Kind == jaygw.ServiceTask {
+		return
+	}
+	t.checkpoint = jaygw.Checkpoint{
+		Epoch:    t.permit.Attempt.Epoch,
+		Progress: jaygw.Duration(t.progress(w.now())),
+		Token:    fmt.Sprintf("%s@%d", t.permit.Attempt.Task, t.permit.Attempt.Epoch),
+	}
+}
+
+// progress returns the work done, in time at full speed.
+func (t *task) progress(now time.Time) time.Duration {
+	return t.base + now.Sub(t.throttled)*time.Duration(t.percent)/fullSpeed
+}
+
+// completion returns when the attempt completes at its present speed. Services do
+// not complete.
+func (t *task) completion() (time.Time, bool) {
+	if t.permit.Kind == jaygw.ServiceTask || t.percent <= 0 {
+		return time.Time{}, false
+	}
+	left := t.permit.RunTime.Std() - t.base
+	return t.throttled.Add(left * fullSpeed / time.Duration(t.percent)), true
+}
--- /dev/null
+++ b/internal/schedule/dispatcher/observe.go
@@ -0,0 +1,61 @@
+package dispatcher
+
+import "github.com/jaygw/jaygw"
+
+var _ jaygw.Observer = (*watcher)(nil)
+
+// watcher tells a dispatcher of applied changes. It runs while the replica's
+// state is locked, so it only marks what has changed.
+type watcher struct {
+	d *Dispatcher
+}
+
+// Observer returns the observer to add to the replica's state machine.
+func (d *Dispatcher) Observer() jaygw.Observer { return &watcher{d: d} }
+
+// TaskChanged notes the VMs whose assignments have changed.
+func (w *watcher) TaskChanged(before, after *jaygw.Task) {
+	for _, task := range []*jaygw.Task{before, after} {
+		if task != nil && task.VM != "" {
+			w.d.notes.vm(task.VM)
+		}
+	}
+	if viewChanged(before, after) {
+		w.d.notes.view()
+	}
+	w.d.wakeUp()
+}
+
+// VMChanged notes that the view has changed.
+func (w *watcher) VMChanged(before, after *jaygw.VM) {
+	if before == nil || after == nil || before.Incarnation != after.Incarnation ||
+		before.Leaving != after.Leaving || before.Address != after.Address {
+		w.d.notes.view()
+		w.d.wakeUp()
+	}
+}
+
+// DomainChanged notes that the view has changed.
+func (w *watcher) DomainChanged(*jaygw.FailureDomain) {
+	w.d.notes.view()
+	w.d.wakeUp()
+}
+
+// DocumentChanged notes that the view has changed.
+func (w *watcher) DocumentChanged(*jaygw.Submitted) {
+	w.d.notes.view()
+	w.d.wakeUp()
+}
+
+// Reset notes that everything may have changed.
+func (w *watcher) Reset() {
+	w.d.notes.all()
+	w.d.wakeUp()
+}
+
+func viewChanged(before, after *jaygw.Task) bool {
+	serves := func(t *jaygw.Task) bool {
+		return t != nil && t.Kind == jaygw.ServiceTask && t.State == jaygw.Running
+	}
+	return serves(before) != serves(after)
+}
--- a/refusal.go
+++ b/refusal.go
@@ -71,6 +71,10 @@
 	// ErrOutcomeUnknown is returned when a command may or may not be committed;
 	// resend it with the same client and sequence.
 	ErrOutcomeUnknown = errors.New("the outcome of the command is unknown")
+	// ErrInvalidMessage is returned for a message that cannot be read.
+	ErrInvalidMessage = errors.New("the message is malformed")
+	// ErrWrongGroup is returned for a message to another control group.
+	ErrWrongGroup = errors.New("the message is for another control group")
 	// ErrStopped is returned by a component that has been shut down.
 	ErrStopped = errors.New("stopped")
 )
--- a/task.go
+++ b/task.go
@@ -43,6 +43,7 @@
 		Failures    int         `json:"failures,omitempty"`
 		Evictions   int         `json:"evictions,omitempty"`
 		NotBefore   Time        `json:"not-before,omitempty"` // retry backoff
+		Canceling   bool        `json:"canceling,omitempty"`  // ends as canceled once stopped
 		Reason      string      `json:"reason,omitempty"`
 	}
 
@@ -61,7 +62,7 @@
 		Finished  Time     `json:"finished,omitempty"`
 		Done      int      `json:"done"`
 		Failed    int      `json:"failed"`
-		Cancelled int      `json:"cancelled"`
+		Canceled  int      `json:"canceled"`
 		Reason    string   `json:"reason,omitempty"`
 	}
 
@@ -121,8 +122,8 @@
 	Done TaskState = "done"
 	// Failed tasks have used up their failures.
 	Failed TaskState = "failed"
-	// Cancelled tasks will not run again.
-	Cancelled TaskState = "cancelled"
+	// Canceled tasks will not run again.
+	Canceled TaskState = "canceled"
 
 	// JobActive jobs have tasks left.
 	JobActive JobState = "active"
@@ -130,8 +131,8 @@
 	JobDone JobState = "done"
 	// JobFailed jobs have a failed task.
 	JobFailed JobState = "failed"
-	// JobCancelled jobs were cancelled by an operator.
-	JobCancelled JobState = "cancelled"
+	// JobCanceled jobs were canceled by an operator.
+	JobCanceled JobState = "canceled"
 )
 
 // Holds reports whether the task holds resources on a VM: its attempt may be
@@ -139,7 +140,7 @@
 func (s TaskState) Holds() bool { return s == Granted || s == Running || s == Stopping }
 
 // Ended reports whether the task will not run again.
-func (s TaskState) Ended() bool { return s == Done || s == Failed || s == Cancelled }
+func (s TaskState) Ended() bool { return s == Done || s == Failed || s == Canceled }
 
 // Attempt returns the attempt in force.
 func (t *Task) Attempt() Attempt { return Attempt{t.ID, t.Epoch} }
