--- a/internal/control/applier/machine_test.go
+++ b/internal/control/applier/machine_test.go
@@ -47,14 +47,13 @@
 	return l.machine.Apply(l.index, c)
 }
 
-func (l *log) accept(c jaygw.Command) jaygw.Result {
+func (l *log) accept(c jaygw.Command) {
 	l.t.Helper()
 	result := l.apply(c)
 	require.NoError(l.t, result.Err())
 	for _, item := range result.Results {
 		require.Empty(l.t, item.Code, item.Detail)
 	}
-	return result
 }
 
 func (l *log) grant(task jaygw.TaskID, after jaygw.Epoch, vm string) jaygw.ItemResult {
