Let key claims that are never settled end as unknown

Cause: a claim whose entry crashed, or whose commit was reported as unknown, left its key pending until it expired, so every resend was told that the request is still running.

Change: a claim carries how long its request may run and how long the key is kept; both count from the log's time when the claim is applied, so no clocks are compared. After that time a pending claim answers as unknown. A copy of a claim that arrives after its request has given the key up is refused.

--- a/command.go
+++ b/command.go
@@ -1,5 +1,7 @@
 package jaygw
 
+import "time"
+
 type (
 	// Command is one change of the control state. Exactly one of the pointer
 	// fields is set. Client and Sequence identify it, so that a resend gets the
@@ -138,7 +140,13 @@
 		Digest  string `cbor:"2,keyasint"` // of method, target and body
 		Entry   string `cbor:"3,keyasint"`
 		Request string `cbor:"4,keyasint"` // the claiming request's id
-		Expires Time   `cbor:"5,keyasint"`
+		Expires Time   `cbor:"5,keyasint"` // set when applied if Retention is
+
+		// Patience is how long after the claim the request may still be running;
+		// after that, a claim that was not settled counts as KeyUnknown.
+		Patience time.Duration `cbor:"6,keyasint,omitempty"`
+		// Retention is how long after the claim the key is kept.
+		Retention time.Duration `cbor:"7,keyasint,omitempty"`
 	}
 
 	// ClaimKeys is a batch of key claims.
@@ -196,6 +204,7 @@
 		Outcome  KeyOutcome      `cbor:"2,keyasint"`
 		Response *StoredResponse `cbor:"3,keyasint,omitempty"`
 		Settled  Time            `cbor:"4,keyasint,omitempty"`
+		Claimed  Time            `cbor:"5,keyasint,omitempty"`
 	}
 )
 
--- a/internal/control/applier/keys.go
+++ b/internal/control/applier/keys.go
@@ -19,26 +19,20 @@
 func (m *Machine) claim(c jaygw.KeyClaim) jaygw.ItemResult {
 	record, known := m.state.Keys[c.Key]
 	if known {
-		if record.Claim.Digest != c.Digest {
-			return item(jaygw.RefusedKeyReused, "the key was used for a different request")
+		if refusal, refused := m.refuseClaim(record, c); refused {
+			return refusal
 		}
-		if record.Outcome == jaygw.KeyPending && record.Claim.Request == c.Request {
+		if record.Outcome == jaygw.KeyPending {
 			return jaygw.ItemResult{} // a resend of the same claim
 		}
-		if record.Outcome != jaygw.KeyNotExecuted {
-			code := jaygw.RefusedKeyKnown
-			if record.Outcome == jaygw.KeyPending {
-				code = jaygw.RefusedKeyBusy
-			}
-			refused := item(code, "the key's first request is %s", record.Outcome)
-			refused.Key = record
-			return refused
-		}
+	}
+	if c.Retention > 0 {
+		c.Expires = m.state.Time.Add(c.Retention)
 	}
 	if c.Expires <= m.state.Time {
 		return item(jaygw.RefusedInvalid, "the claim has already expired")
 	}
-	next := &jaygw.KeyRecord{Claim: c, Outcome: jaygw.KeyPending}
+	next := &jaygw.KeyRecord{Claim: c, Outcome: jaygw.KeyPending, Claimed: m.state.Time}
 	if !known && len(m.state.Keys) >= m.limits.Keys || m.keyBytesAfter(record, next) > m.limits.KeyBytes {
 		return item(jaygw.RefusedFull, "the table of idempotency keys is full")
 	}
@@ -47,6 +41,38 @@
 	return jaygw.ItemResult{}
 }
 
+// refuseClaim decides on a claim of a key that is known.
+func (m *Machine) refuseClaim(record *jaygw.KeyRecord, c jaygw.KeyClaim) (jaygw.ItemResult, bool) {
+	same := record.Claim.Request == c.Request
+	switch {
+	case record.Claim.Digest != c.Digest:
+		return item(jaygw.RefusedKeyReused, "the key was used for a different request"), true
+	case record.Outcome == jaygw.KeyNotExecuted && same:
+		// A copy of the claim that was delayed until after its request gave up.
+		// Granting it would leave the key pending with no one to settle it.
+		return item(jaygw.RefusedState, "the request has given up the key"), true
+	case record.Outcome == jaygw.KeyNotExecuted:
+		return jaygw.ItemResult{}, false
+	case record.Outcome != jaygw.KeyPending:
+		refused := item(jaygw.RefusedKeyKnown, "the key's first request is %s", record.Outcome)
+		refused.Key = record
+		return refused, true
+	case same:
+		return jaygw.ItemResult{}, false
+	}
+	if record.Claim.Patience > 0 && m.state.Time >= record.Claimed.Add(record.Claim.Patience) {
+		// The claiming entry was lost before it could settle.
+		lost := *record
+		lost.Outcome = jaygw.KeyUnknown
+		refused := item(jaygw.RefusedKeyKnown, "the key's first request is %s", lost.Outcome)
+		refused.Key = &lost
+		return refused, true
+	}
+	refused := item(jaygw.RefusedKeyBusy, "the key's first request is %s", record.Outcome)
+	refused.Key = record
+	return refused, true
+}
+
 func (m *Machine) settleKeys(batch jaygw.SettleKeys) jaygw.Result {
 	results := make([]jaygw.ItemResult, len(batch.Settlements))
 	for i, settlement := range batch.Settlements {
