Stream requests, admit them at the agent and claim idempotency keys

Cause: the thin path read whole bodies, chose upstreams by the requests in flight alone, had no retry budget, refused nothing early and did not use the idempotency keys of the control state.

Change, entry: bodies stream both ways with length checks; up to 64 kB is read ahead so that a refused attempt can be sent again, the rest waits for the agent's slot. Conflicting lengths are refused. An entry that gives up cancels and waits 100 ms for the agent's word. Upstreams are chosen by credits, expected delay and failure domain, with ejection and ramp-up. Retries come from a budget; hedges too. Keys are claimed in batches before the first attempt. Change, agent: slots, a queue that refuses what cannot meet its deadline, credits for entries by demand, health checks, and 'not executed' only if there was no connection for the request. Change, daemons: what requests depend on runs until they have finished.

--- a/control.go
+++ b/control.go
@@ -13,6 +13,15 @@
 		Propose(ctx context.Context, command Command) (Result, error)
 	}
 
+	// Claimer claims idempotency keys for an entry.
+	Claimer interface {
+		// Claim returns the control state's decision. After an error the request
+		// must not be executed; the claimer gives the claim up by itself.
+		Claim(ctx context.Context, claim KeyClaim) (ItemResult, error)
+		// Settle records the outcome of a claimed request in the background.
+		Settle(settlement Settlement)
+	}
+
 	// Control is the replicated control state as the rest of a process sees it.
 	Control interface {
 		Proposer
--- a/internal/agent/server/body.go
+++ b/internal/agent/server/body.go
@@ -1,43 +1,76 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"io"
 
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 )
 
-// body reads a request's body from the stream of an attempt.
-type body struct {
+// inbox reads the entry's messages of one attempt: the rest of the request's
+// body, and a cancel at any time. It is the body of the request to the upstream.
+type inbox struct {
 	stream messenger.DRPCUpstream_AttemptStream
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	chunks chan *messenger.AttemptRequest
 	chunk  []byte
 	last   bool
 }
 
-var errCanceled = errors.New("the entry has canceled the attempt")
+var (
+	errCanceled = errors.New("the entry has canceled the attempt")
+	errLost     = errors.New("the connection to the entry was lost")
+)
+
+func newInbox(ctx context.Context, cancel context.CancelCauseFunc, stream messenger.DRPCUpstream_AttemptStream,
+	first *messenger.AttemptRequest,
+) *inbox {
+	return &inbox{
+		stream: stream, ctx: ctx, cancel: cancel, chunks: make(chan *messenger.AttemptRequest),
+		chunk: first.Chunk, last: first.Last,
+	}
+}
 
-func newBody(stream messenger.DRPCUpstream_AttemptStream, first *messenger.AttemptRequest) *body {
-	return &body{stream: stream, chunk: first.Chunk, last: first.Last}
+// run reads messages until the stream ends.
+func (b *inbox) run() {
+	for {
+		message, err := b.stream.Recv()
+		if err != nil {
+			b.cancel(errLost)
+			return
+		}
+		if message.Cancel {
+			b.cancel(errCanceled)
+			continue
+		}
+		select {
+		case b.chunks <- message:
+		case <-b.ctx.Done():
+		}
+	}
 }
 
 // Read returns the next part of the body. A stream that ends before the last
 // chunk is an error.
-func (b *body) Read(p []byte) (int, error) {
+func (b *inbox) Read(p []byte) (int, error) {
 	for len(b.chunk) == 0 {
 		if b.last {
 			return 0, io.EOF
 		}
-		message, err := b.stream.Recv()
-		if err != nil {
-			return 0, io.ErrUnexpectedEOF
-		}
-		if message.Cancel {
-			return 0, errCanceled
+		select {
+		case message := <-b.chunks:
+			b.chunk = message.Chunk
+			b.last = message.Last
+		case <-b.ctx.Done():
+			return 0, context.Cause(b.ctx)
 		}
-		b.chunk = message.Chunk
-		b.last = message.Last
 	}
 	n := copy(p, b.chunk)
 	b.chunk = b.chunk[n:]
 	return n, nil
 }
+
+// Close is for http.Request.
+func (b *inbox) Close() error { return nil }
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -5,8 +5,9 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -22,28 +23,59 @@
 		base        string
 		incarnation jaygw.Incarnation
 		limiter     *limiter.Limiter
+		granter     *limiter.Granter
 		client      *http.Client
+		connections int64
+
+		inFlight  atomic.Int64
+		leaving   atomic.Bool // entries are told to stop sending requests
+		unhealthy atomic.Bool
 	}
+
+	// Option changes a new Server.
+	Option func(*Server)
+
+	// dial opens a connection to the upstream.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 )
 
-const chunkBytes = 32 << 10
+const (
+	chunkBytes         = 32 << 10
+	defaultConnections = 64
+	drainPoll          = 5 * time.Millisecond
+)
+
+// WithConnections sets how many attempts of all entries may be at the agent at
+// the same time, and how many connections it opens to the upstream.
+func WithConnections(connections int) Option {
+	return func(s *Server) { s.connections = int64(connections) }
+}
+
+// WithDial replaces how connections to the upstream are opened.
+func WithDial(open func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(s *Server) { s.client.Transport.(*http.Transport).DialContext = dial(open) }
+}
 
 // New returns the server for the upstream at an HTTP address.
-func New(upstream string, incarnation jaygw.Incarnation, l *limiter.Limiter) *Server {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		MaxConnsPerHost:     64,
-		DisableCompression:  true,
-	}
-	return &Server{
+func New(upstream string, incarnation jaygw.Incarnation, l *limiter.Limiter, options ...Option) *Server {
+	s := &Server{
 		base:        "http://" + upstream,
 		incarnation: incarnation,
 		limiter:     l,
+		granter:     limiter.NewGranter(l.Capacity()),
+		connections: defaultConnections,
 		client: &http.Client{
-			Transport:     transport,
+			Transport:     &http.Transport{DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
+	for _, option := range options {
+		option(s)
+	}
+	transport := s.client.Transport.(*http.Transport)
+	transport.MaxIdleConnsPerHost = int(s.connections)
+	transport.MaxConnsPerHost = int(s.connections)
+	return s
 }
 
 // Attempt passes one request to the upstream.
@@ -52,86 +84,74 @@
 	if err != nil {
 		return err
 	}
-	head := first.Head
-	if head == nil {
+	if first.Head == nil {
 		return errors.New("the first message of an attempt has no head")
 	}
-	if jaygw.Incarnation(head.Incarnation) != s.incarnation {
-		return s.refuse(stream, head, "the agent has been restarted")
-	}
 	now := time.Now()
-	remaining := time.Duration(head.RemainingNanos)
-	ctx, cancel := context.WithTimeout(stream.Context(), remaining)
-	defer cancel()
-	if err := s.limiter.Acquire(ctx, jaygw.Class(head.Class), now.Add(remaining), now); err != nil {
-		return s.refuse(stream, head, err.Error())
+	e := &exchange{server: s, stream: stream, head: first.Head, began: now}
+	inFlight := s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	switch {
+	case jaygw.Incarnation(first.Head.Incarnation) != s.incarnation:
+		return e.refuse("the agent has been restarted")
+	case inFlight > s.connections:
+		return e.shed("the agent has its limit of attempts")
+	case s.unhealthy.Load():
+		return e.refuse("the upstream does not pass its health check")
 	}
-	defer s.limiter.Release()
-	return s.forward(ctx, stream, first)
-}
-
-func (s *Server) refuse(stream messenger.DRPCUpstream_AttemptStream, head *messenger.AttemptHead, reason string) error {
-	return stream.Send(&messenger.AttemptResponse{
-		Attempt: head.Attempt, Incarnation: uint64(s.incarnation), Failure: reason, NotExecuted: true, Last: true,
-	})
-}
+	remaining := time.Duration(first.Head.RemainingNanos)
+	timeout, stop := context.WithTimeout(stream.Context(), remaining)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(timeout)
+	defer cancel(nil)
+	body := newInbox(ctx, cancel, stream, first)
+	go body.run()
 
-func (s *Server) forward(ctx context.Context, stream messenger.DRPCUpstream_AttemptStream, first *messenger.AttemptRequest) error {
-	head := first.Head
-	request, err := http.NewRequestWithContext(ctx, head.Method, s.base+head.Target, newBody(stream, first))
-	if err != nil {
-		return s.refuse(stream, head, err.Error())
-	}
-	request.ContentLength = head.Length
-	if head.Length == 0 {
-		request.Body = http.NoBody
+	if err := s.limiter.Acquire(ctx, jaygw.Class(first.Head.Class), now.Add(remaining), now); err != nil {
+		return e.shed(err.Error())
 	}
-	for _, field := range head.Header {
-		request.Header.Add(field.Name, field.Value)
-	}
-	response, err := s.client.Do(request)
-	if err != nil {
-		return s.fail(stream, head, err)
+	granted := time.Now()
+	defer func() {
+		done := time.Now()
+		s.limiter.Release(done.Sub(granted), done)
+	}()
+	if first.Head.More {
+		if err := e.send(&messenger.AttemptResponse{Proceed: true}); err != nil {
+			return err
+		}
 	}
-	defer response.Body.Close()
-	return s.respond(stream, head, response)
+	return e.forward(ctx, body, now.Add(remaining))
 }
 
-func (s *Server) fail(stream messenger.DRPCUpstream_AttemptStream, head *messenger.AttemptHead, err error) error {
-	return stream.Send(&messenger.AttemptResponse{
-		Attempt: head.Attempt, Incarnation: uint64(s.incarnation), Failure: err.Error(), Last: true,
-	})
+// Credits tells an entry without requests in flight its share of the slots.
+func (s *Server) Credits(_ context.Context, request *messenger.CreditsRequest) (*messenger.CreditsResponse, error) {
+	return &messenger.CreditsResponse{
+		Credits:     int32(s.granter.Grant(request.Entry, int(request.Wanted), time.Now())),
+		Incarnation: uint64(s.incarnation),
+		Leaving:     s.leaving.Load(),
+		ValidNanos:  int64(limiter.CreditValidity),
+	}, nil
 }
 
-func (s *Server) respond(stream messenger.DRPCUpstream_AttemptStream, head *messenger.AttemptHead, response *http.Response) error {
-	message := &messenger.AttemptResponse{
-		Attempt: head.Attempt, Incarnation: uint64(s.incarnation),
-		Status: int32(response.StatusCode), Length: response.ContentLength,
-	}
-	for name, values := range response.Header {
-		for _, value := range values {
-			message.Header = append(message.Header, &messenger.Header{Name: name, Value: value})
-		}
-	}
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := io.ReadFull(response.Body, buffer)
-		message.Chunk = buffer[:n]
-		ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && n < len(buffer) && bodyComplete(response, err)
-		if err != nil && !ended {
-			return s.fail(stream, head, err)
-		}
-		message.Last = ended
-		if err := stream.Send(message); err != nil || ended {
-			return err
+// Leave tells entries with each response that the upstream is leaving. Requests
+// are still accepted until Drain is called.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Drain refuses new requests and returns once those in flight have finished or
+// the context has ended.
+func (s *Server) Drain(ctx context.Context) error {
+	s.limiter.Leave()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
 		}
-		message = &messenger.AttemptResponse{Attempt: head.Attempt, Incarnation: uint64(s.incarnation)}
 	}
+	return nil
 }
 
-// bodyComplete tells the end of a body, which io.ReadFull reports as
-// io.ErrUnexpectedEOF, from a connection that was cut.
-func bodyComplete(response *http.Response, _ error) bool {
-	_, err := response.Body.Read(make([]byte, 1))
-	return errors.Is(err, io.EOF)
-}
+// Close closes the idle connections to the upstream.
+func (s *Server) Close() { s.client.CloseIdleConnections() }
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/announcer"
@@ -12,18 +13,34 @@
 	"github.com/jaygw/jaygw/internal/control/client"
 	"github.com/jaygw/jaygw/internal/platform/connector"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
+	"github.com/rotisserie/eris"
 )
 
-const defaultQueueLength = 16
+const (
+	// defaultQueueLength is the number of slots of the usual worker: a request
+	// that waits then takes about twice its own time.
+	defaultQueueLength = 8
+	defaultConnections = 64
+
+	// defaultLeaveWait is how long a leaving agent still accepts requests, until
+	// the entries know that it leaves.
+	defaultLeaveWait = 3 * time.Second
+
+	// lastWords is the time for responses that were sent to be read before the
+	// connections close.
+	lastWords = 100 * time.Millisecond
+)
 
 // startAgent starts the agent beside an upstream.
 func (p *Process) startAgent(ctx context.Context) error {
 	worker := p.settings.Worker
 	incarnation := jaygw.Incarnation(rand.Uint64())
 	admission := limiter.New(worker.Slots, orDefault(p.settings.Limits.QueueLength, defaultQueueLength))
-	if err := messenger.DRPCRegisterUpstream(p.mux, server.New(worker.Address, incarnation, admission)); err != nil {
+	requests := server.New(worker.Address, incarnation, admission, server.WithConnections(orDefault(worker.Connections, defaultConnections)))
+	if err := messenger.DRPCRegisterUpstream(p.mux, requests); err != nil {
 		return err
 	}
+	p.group.Go(func() error { requests.Probe(p.work); return nil })
 	vm := jaygw.VM{
 		Name: p.settings.Name, Group: p.settings.Group, Region: p.settings.Region, Domain: p.settings.Domain,
 		Rack: p.settings.Rack, Size: worker.Size, Slots: worker.Slots, Address: p.address(), Services: worker.Services,
@@ -33,6 +50,27 @@
 		connector.New(worker.Address),
 		executor.New(p.settings.Group, vm, incarnation),
 		announcer.WithLogger(p.log))
-	p.group.Go(func() error { return session.Run(ctx) })
+	p.group.Go(func() error { return session.Run(p.work) })
+	p.group.Go(func() error {
+		<-ctx.Done()
+		defer p.stopWork()
+		return p.leave(context.WithoutCancel(ctx), session, requests)
+	})
+	return nil
+}
+
+// leave announces that the upstream is leaving, waits until the entries know, and
+// finishes what is in flight.
+func (p *Process) leave(ctx context.Context, session *announcer.Announcer, requests *server.Server) error {
+	defer requests.Close()
+	requests.Leave()
+	session.Leave()
+	time.Sleep(orDefault(p.settings.Limits.BalancerWait.Std(), defaultLeaveWait))
+	ctx, cancel := context.WithTimeout(ctx, orDefault(p.settings.Limits.DrainTimeout.Std(), defaultDrain))
+	defer cancel()
+	if err := requests.Drain(ctx); err != nil {
+		return eris.Wrap(err, "finish the requests in flight")
+	}
+	time.Sleep(lastWords)
 	return nil
 }
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -27,6 +27,11 @@
 		dialer    *dialer.Dialer
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
+
+		// work ends after the requests in flight: what they depend on runs until
+		// then. stopWork ends it.
+		work     context.Context
+		stopWork context.CancelFunc
 	}
 
 	// Listeners are the sockets of a process; nil ones are opened from the
@@ -84,6 +89,8 @@
 	}
 	defer p.dialer.Close()
 	p.group, ctx = errgroup.WithContext(ctx)
+	p.work, p.stopWork = context.WithCancel(context.WithoutCancel(ctx))
+	defer p.stopWork()
 	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
 	var err error
 	switch role {
@@ -93,11 +100,12 @@
 		err = p.startEntry(ctx)
 	default:
 		err = p.startReplica(ctx)
+		context.AfterFunc(ctx, p.stopWork)
 	}
 	if err != nil {
 		return err
 	}
-	p.group.Go(func() error { return dialer.Serve(ctx, p.listeners.Processes, p.mux) })
+	p.group.Go(func() error { return dialer.Serve(p.work, p.listeners.Processes, p.mux) })
 	p.log.Infof("%s: started as %s, processes at %s", role, p.settings.Name, p.listeners.Processes.Addr())
 	err = p.group.Wait()
 	p.log.Infof("%s: stopped", role)
@@ -131,12 +139,7 @@
 // serveHTTP serves until the context ends, then calls drain and finishes the
 // requests in flight.
 func (p *Process) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, drain func()) {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    orDefault(p.settings.Limits.HeaderBytes, defaultHeaderBytes),
-	}
+	server := p.newHTTP(handler)
 	p.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve HTTP")
@@ -153,6 +156,15 @@
 	})
 }
 
+func (p *Process) newHTTP(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    orDefault(p.settings.Limits.HeaderBytes, defaultHeaderBytes),
+	}
+}
+
 // Address returns the address at which other processes reach this one.
 func (p *Process) address() string {
 	if p.settings.Advertise != "" {
--- a/internal/daemon/launcher/local.go
+++ b/internal/daemon/launcher/local.go
@@ -117,6 +117,7 @@
 		Rack:   fmt.Sprintf("%s-r%d", domain.Name, rack/len(l.settings.Domains)+1),
 		Listen: jaygw.Listen{Processes: anyPort},
 		Peers:  []string{control},
+		Limits: jaygw.RequestLimits{BalancerWait: jaygw.Duration(time.Millisecond)},
 		Worker: &jaygw.WorkerSettings{
 			Address: socket.Addr().String(), Size: l.settings.Size, Slots: localSlots, Connections: localConnections,
 		},
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -3,20 +3,19 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
+	"hash/fnv"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/entry/router"
-	"github.com/jaygw/jaygw/internal/wire/dialer"
-	"github.com/jaygw/jaygw/internal/wire/messenger"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 )
 
 type (
@@ -24,22 +23,93 @@
 	Forwarder struct {
 		name     string
 		router   *router.Router
-		dialer   *dialer.Dialer
+		agents   Connector
+		claimer  jaygw.Claimer
 		log      logrus.FieldLogger
+		registry metrics.Registry
+		counts   counts
+		limits   Limits
+		seed     string // of request ids
 		attempts atomic.Uint64
+		requests atomic.Uint64
+		inFlight atomic.Int64
+		buffered atomic.Int64 // bytes of bodies of requests with a key
 		ready    atomic.Bool
+		faults   faults
+	}
+
+	// Connector connects to agents.
+	Connector interface {
+		Conn(ctx context.Context, address string) drpc.Conn
+	}
+
+	// Limits bounds what the entry accepts.
+	Limits struct {
+		Requests int   // at the same time
+		Body     int64 // bytes of one request
+		Buffered int64 // bytes of the bodies of requests with a key, together
+	}
+
+	// Option changes a new Forwarder.
+	Option func(*Forwarder)
+
+	// faults are put in by tests, to show that they are found.
+	faults struct {
+		retryUnknown bool // a request whose outcome is unknown is sent again
+		matchByOrder bool // a response belongs to the request that waits
 	}
 )
 
 const (
-	maxAttempts    = 3
-	chunkBytes     = 32 << 10
-	defaultTimeout = 10 * time.Second
+	defaultRequests = 2048
+	defaultBody     = 64 << 20
+	defaultBuffered = 64 << 20
+	defaultTimeout  = 10 * time.Second
 )
 
-// New returns the forwarder of the entry with this name.
-func New(name string, r *router.Router, d *dialer.Dialer, log logrus.FieldLogger) *Forwarder {
-	f := &Forwarder{name: name, router: r, dialer: d, log: log}
+// WithClaimer sets what claims idempotency keys. Without one, requests with a key
+// are refused.
+func WithClaimer(claimer jaygw.Claimer) Option {
+	return func(f *Forwarder) { f.claimer = claimer }
+}
+
+// WithLimits replaces the limits; zero values keep the default.
+func WithLimits(limits Limits) Option {
+	return func(f *Forwarder) {
+		if limits.Requests > 0 {
+			f.limits.Requests = limits.Requests
+		}
+		if limits.Body > 0 {
+			f.limits.Body = limits.Body
+		}
+		if limits.Buffered > 0 {
+			f.limits.Buffered = limits.Buffered
+		}
+	}
+}
+
+// WithRegistry sets the registry of the metrics that /metrics shows.
+func WithRegistry(registry metrics.Registry) Option {
+	return func(f *Forwarder) { f.registry = registry }
+}
+
+// New returns the forwarder of the entry with this name. The name and the id
+// of the process's life make request ids unique.
+func New(name, life string, r *router.Router, agents Connector, log logrus.FieldLogger, options ...Option) *Forwarder {
+	f := &Forwarder{
+		name: name, router: r, agents: agents, log: log, seed: name + "-" + life + "-",
+		registry: metrics.NewRegistry(),
+		limits:   Limits{Requests: defaultRequests, Body: defaultBody, Buffered: defaultBuffered},
+	}
+	for _, option := range options {
+		option(f)
+	}
+	f.counts = newCounts(f.registry)
+	// Attempt ids of different entries and lives do not meet, so that a stray
+	// message of one cannot answer an attempt of another.
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(f.seed))
+	f.attempts.Store(h.Sum64())
 	f.ready.Store(true)
 	return f
 }
@@ -47,13 +117,27 @@
 // SetReady changes the response of /ready, which the balancer asks for.
 func (f *Forwarder) SetReady(ready bool) { f.ready.Store(ready) }
 
-// Handler returns the callers' HTTP interface.
+// Handler returns the callers' HTTP interface. Services are found by the first
+// segment of the path without a router: mux cleans paths, which are the
+// upstream's to interpret.
 func (f *Forwarder) Handler() http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	r.HandleFunc("/ready", f.answerReady)
-	r.PathPrefix("/{service}").HandlerFunc(f.serve)
-	return r
+	own := mux.NewRouter()
+	own.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	own.HandleFunc("/ready", f.answerReady)
+	own.HandleFunc("/metrics", f.answerMetrics)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(r.TransferEncoding) > 0 {
+			// Nothing that follows a body of unknown length on this connection
+			// is taken for a request.
+			w.Header().Set("Connection", "close")
+		}
+		switch r.URL.Path {
+		case "/live", "/ready", "/metrics":
+			own.ServeHTTP(w, r)
+		default:
+			f.serve(w, r)
+		}
+	})
 }
 
 func (f *Forwarder) answerReady(w http.ResponseWriter, _ *http.Request) {
@@ -64,156 +148,34 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
-	service := mux.Vars(r)["service"]
-	contract, ok := f.router.Contract(service)
-	if !ok {
-		writeProblem(w, problem{Status: http.StatusNotFound, Title: "No such service", Detail: service, Executed: jaygw.NotExecuted})
-		return
-	}
-	timeout, err := requestTimeout(r, contract)
-	if err != nil {
-		writeProblem(w, problem{Status: http.StatusBadRequest, Title: "Bad timeout", Detail: err.Error(), Executed: jaygw.NotExecuted})
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(contract.MaxBody)))
-	if err != nil {
-		writeProblem(w, problem{Status: http.StatusBadRequest, Title: "Body not accepted", Detail: err.Error(), Executed: jaygw.NotExecuted})
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
-	defer cancel()
-	f.attempt(ctx, w, r, contract, body)
-}
-
-func requestTimeout(r *http.Request, contract jaygw.Contract) (time.Duration, error) {
-	timeout := contract.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	text := r.Header.Get(jaygw.HeaderTimeout)
-	if text == "" {
-		return timeout, nil
-	}
-	wanted, err := time.ParseDuration(text)
-	if err != nil || wanted <= 0 {
-		return 0, errors.New("the header jaygw-timeout needs a duration such as 800ms")
-	}
-	return min(wanted, timeout), nil
-}
-
-// attempt tries upstreams until one has answered or the request may have been
-// executed and must not run twice.
-func (f *Forwarder) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, contract jaygw.Contract, body []byte) {
-	tried := map[string]bool{}
-	executed := jaygw.NotExecuted
-	detail := "no upstream is available"
-	for range maxAttempts {
-		upstream, ok := f.router.Pick(contract.Service, tried)
-		if !ok {
-			break
-		}
-		tried[upstream.VM] = true
-		result := f.tryOne(ctx, w, r, contract, body, upstream, len(tried) > 1)
-		f.router.Done(upstream)
-		if result.answered {
-			return
+// serviceOf returns the first segment of a path. Paths with "." and ".."
+// segments are refused: the upstream could take them for another service's.
+func serviceOf(path string) (string, bool) {
+	if !strings.HasPrefix(path, "/") {
+		return "", false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return "", false
 		}
-		detail = result.failure
-		if !result.notExecuted {
-			executed = jaygw.ExecutionUnknown
-			if !contract.Idempotent(r.Method) {
-				break
-			}
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	status := http.StatusServiceUnavailable
-	if ctx.Err() != nil {
-		status = http.StatusGatewayTimeout
 	}
-	writeProblem(w, problem{Status: status, Title: "The request was not answered", Detail: detail, Executed: executed})
+	service, _, _ := strings.Cut(path[1:], "/")
+	return service, service != ""
 }
 
-// outcome is what became of one attempt.
-type outcome struct {
-	answered    bool // the caller has been sent a response, whole or cut off
-	notExecuted bool
-	failure     string
-}
-
-func (f *Forwarder) tryOne(ctx context.Context, w http.ResponseWriter, r *http.Request, contract jaygw.Contract,
-	body []byte, upstream jaygw.Upstream, retry bool,
-) outcome {
-	id := f.attempts.Add(1)
-	deadline, _ := ctx.Deadline()
-	head := &messenger.AttemptHead{
-		Attempt: id, Entry: f.name, Service: contract.Service, Class: string(contract.Class),
-		Method: r.Method, Target: r.URL.RequestURI(), Length: int64(len(body)),
-		RemainingNanos: int64(time.Until(deadline)), Retry: retry, Incarnation: uint64(upstream.Incarnation),
-		Header: forwardedHeader(r),
-	}
-	stream, err := messenger.NewDRPCUpstreamClient(f.dialer.Conn(ctx, upstream.Address)).Attempt(ctx)
-	if err != nil {
-		return outcome{notExecuted: true, failure: err.Error()}
-	}
-	defer stream.Close()
-	if err := send(stream, head, body); err != nil {
-		return outcome{failure: err.Error()}
-	}
-	first, err := stream.Recv()
-	if err != nil {
-		return outcome{failure: err.Error()}
-	}
-	if first.Attempt != id || first.Incarnation != uint64(upstream.Incarnation) {
-		return outcome{failure: "the response belongs to another attempt"}
-	}
-	if first.Failure != "" {
-		return outcome{notExecuted: first.NotExecuted, failure: first.Failure}
-	}
-	f.copyResponse(w, stream, first)
-	return outcome{answered: true}
-}
-
-func send(stream messenger.DRPCUpstream_AttemptClient, head *messenger.AttemptHead, body []byte) error {
-	message := &messenger.AttemptRequest{Head: head}
-	reader := bytes.NewReader(body)
+// KeepCredits asks the agents of upstreams in use for credits when responses do
+// not bring them, until the context ends.
+func (f *Forwarder) KeepCredits(ctx context.Context) {
+	ticker := time.NewTicker(creditInterval)
+	defer ticker.Stop()
 	for {
-		message.Chunk = make([]byte, min(chunkBytes, reader.Len()))
-		_, _ = reader.Read(message.Chunk)
-		message.Last = reader.Len() == 0
-		if err := stream.Send(message); err != nil || message.Last {
-			return err
-		}
-		message = &messenger.AttemptRequest{}
-	}
-}
-
-// copyResponse sends the response to the caller. A response that ends early
-// closes the caller's connection, so that it cannot be taken for a whole one.
-func (f *Forwarder) copyResponse(w http.ResponseWriter, stream messenger.DRPCUpstream_AttemptClient, first *messenger.AttemptResponse) {
-	for _, field := range first.Header {
-		if !hopByHop[http.CanonicalHeaderKey(field.Name)] {
-			w.Header().Add(field.Name, field.Value)
-		}
-	}
-	w.WriteHeader(int(first.Status))
-	for message := first; ; {
-		if message.Failure != "" {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := w.Write(message.Chunk); err != nil {
+		select {
+		case <-ctx.Done():
 			return
+		case now := <-ticker.C:
+			for _, upstream := range f.router.Stale(now, now.Add(creditMargin)) {
+				f.askCredits(ctx, upstream)
+			}
 		}
-		if message.Last {
-			return
-		}
-		next, err := stream.Recv()
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		message = next
 	}
 }
--- a/internal/entry/forwarder/problem.go
+++ b/internal/entry/forwarder/problem.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
 
 	"github.com/jaygw/jaygw"
 )
@@ -17,12 +19,40 @@
 
 const retryAfterSeconds = "1"
 
+// refused returns the problem of a request that was not executed.
+func refused(status int, title, detail string) *problem {
+	return &problem{Status: status, Title: title, Detail: detail, Executed: jaygw.NotExecuted}
+}
+
+// refuse sends a problem to the caller.
+func (f *Forwarder) refuse(w http.ResponseWriter, _ *http.Request, p problem) {
+	if p.Executed == jaygw.NotExecuted {
+		f.counts.refused.Inc(1)
+	} else {
+		f.counts.unknown.Inc(1)
+	}
+	writeProblem(w, p)
+}
+
 func writeProblem(w http.ResponseWriter, p problem) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set(jaygw.HeaderExecuted, string(p.Executed))
-	if p.Status == http.StatusServiceUnavailable {
+	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusConflict {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
 }
+
+// bodyProblem says why a request's body could not be read.
+func bodyProblem(err error, executed jaygw.Executed) problem {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return problem{Status: http.StatusRequestEntityTooLarge, Title: "Body too large", Detail: err.Error(), Executed: executed}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return problem{Status: http.StatusRequestTimeout, Title: "Body too slow", Detail: err.Error(), Executed: executed}
+	default:
+		return problem{Status: http.StatusBadRequest, Title: "Body not accepted", Detail: err.Error(), Executed: executed}
+	}
+}
--- a/request.go
+++ b/request.go
@@ -45,8 +45,16 @@
 	HeaderExecuted = "jaygw-executed"
 	// HeaderTimeout carries the caller's deadline as a duration such as "800ms".
 	HeaderTimeout = "jaygw-timeout"
+	// HeaderRetry marks a request that is itself a retry; it is not retried.
+	HeaderRetry = "jaygw-retry"
 	// HeaderRequest carries the request's id.
 	HeaderRequest = "jaygw-request"
 	// HeaderKey carries the caller's idempotency key.
 	HeaderKey = "idempotency-key"
 )
+
+// HasBody reports whether a response to a request with this method may have a
+// body (RFC 9110, section 6.4.1).
+func HasBody(method string, status int) bool {
+	return method != "HEAD" && status >= 200 && status != 204 && status != 304
+}
