--- a/internal/agent/server/body.go
+++ b/internal/agent/server/body.go
@@ -21,6 +21,7 @@
 
 var (
 	errCanceled = errors.New("the entry has canceled the attempt")
+	errGap      = errors.New("a part of the request's body is missing")
 	errLost     = errors.New("the connection to the entry was lost")
 )
 
@@ -35,7 +36,7 @@
 
 // run reads messages until the stream ends.
 func (b *inbox) run() {
-	for {
+	for expected := uint32(1); ; {
 		message, err := b.stream.Recv()
 		if err != nil {
 			b.cancel(errLost)
@@ -45,6 +46,14 @@
 			b.cancel(errCanceled)
 			continue
 		}
+		if message.Sequence < expected {
+			continue // a copy
+		}
+		if message.Sequence > expected {
+			b.cancel(errGap)
+			continue
+		}
+		expected++
 		select {
 		case b.chunks <- message:
 		case <-b.ctx.Done():
--- a/internal/agent/server/exchange.go
+++ b/internal/agent/server/exchange.go
@@ -20,6 +20,7 @@
 	stream messenger.DRPCUpstream_AttemptStream
 	head   *messenger.AttemptHead
 	began  time.Time
+	sent   uint32 // messages
 }
 
 func (e *exchange) send(m *messenger.AttemptResponse) error {
@@ -28,6 +29,8 @@
 	m.Credits = int32(e.server.granter.Grant(e.head.Entry, int(e.head.Wanted), e.began))
 	m.CreditNanos = int64(limiter.CreditValidity)
 	m.Leaving = e.server.leaving.Load()
+	m.Sequence = e.sent
+	e.sent++
 	return e.stream.Send(m)
 }
 
--- a/internal/entry/forwarder/attempt.go
+++ b/internal/entry/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 		release  context.CancelFunc // of the context of a hedged attempt; nil otherwise
 		unwatch  func() bool
 		sent     chan struct{} // closed when the rest of the body was sent; nil if none is
+		received uint32        // messages of this attempt
 		bodyErr  error         // valid once sent is closed
 
 		mu     sync.Mutex
@@ -44,11 +46,15 @@
 	}
 )
 
+var errGap = errors.New("a part of the response is missing")
+
 const (
 	// cancelGrace is how long an entry that has canceled waits for the agent's
 	// word on whether the upstream was given the request.
 	cancelGrace = 100 * time.Millisecond
 
+	maxStatus = 999 // net/http writes three digits
+
 	creditInterval = 500 * time.Millisecond
 	creditMargin   = time.Second // asks this long before the credits run out
 	creditTimeout  = 300 * time.Millisecond
@@ -112,14 +118,16 @@
 				a.result = router.Refused
 			}
 			return outcome{heard: true, notExecuted: message.NotExecuted, reason: message.Failure}
+		case message.Status < http.StatusOK || message.Status > maxStatus:
+			return outcome{heard: true, reason: "the agent's response has an invalid status"}
 		default:
 			return outcome{first: message, attempt: a}
 		}
 	}
 }
 
-// receive returns the next message of this attempt at this incarnation. Others
-// are dropped.
+// receive returns the next message of this attempt at this incarnation. Others,
+// and copies, are dropped.
 func (a *attempt) receive() (*messenger.AttemptResponse, error) {
 	for {
 		message, err := a.stream.Recv()
@@ -133,7 +141,12 @@
 			// never had this stream.
 			matches = true
 		}
+		matches = matches && message.Sequence >= a.received
 		if matches || a.f.faults.matchByOrder {
+			if message.Sequence > a.received && !a.f.faults.matchByOrder {
+				return nil, errGap
+			}
+			a.received++
 			if message.CreditNanos > 0 {
 				a.f.router.Credit(a.upstream, int(message.Credits), time.Duration(message.CreditNanos), message.Leaving, time.Now())
 			}
@@ -147,7 +160,7 @@
 func (a *attempt) sendRest() {
 	defer close(a.sent)
 	buffer := make([]byte, chunkBytes)
-	for {
+	for sequence := uint32(1); ; sequence++ {
 		n, err := a.q.body.rest.Read(buffer)
 		last := errors.Is(err, io.EOF)
 		if err != nil && !last {
@@ -155,7 +168,7 @@
 			_ = a.stream.Send(&messenger.AttemptRequest{Cancel: true})
 			return
 		}
-		if err := a.stream.Send(&messenger.AttemptRequest{Chunk: buffer[:n], Last: last}); err != nil || last {
+		if err := a.stream.Send(&messenger.AttemptRequest{Chunk: buffer[:n], Last: last, Sequence: sequence}); err != nil || last {
 			return
 		}
 	}
