--- a/internal/entry/forwarder/edge_test.go
+++ b/internal/entry/forwarder/edge_test.go
@@ -79,6 +79,7 @@
 		response, err := http.ReadResponse(reader, nil)
 		require.NoError(t, err, "%q", output)
 		_, err = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
 		require.NoError(t, err, "%q", output)
 		if response.StatusCode != http.StatusContinue {
 			codes = append(codes, response.StatusCode)
@@ -162,6 +163,7 @@
 	go func() { _, _ = io.Copy(conn, io.LimitReader(zeros{}, size)) }()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
+	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
--- a/internal/entry/forwarder/machine_test.go
+++ b/internal/entry/forwarder/machine_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -262,13 +264,13 @@
 		if a.executed == string(jaygw.NotExecuted) && ran > 0 {
 			fail(a, "told 'not executed' with status %d, ran %d times", a.status, ran)
 		}
-		if a.step.Method == "POST" && ran > 1 {
+		if a.step.Method == http.MethodPost && ran > 1 {
 			fail(a, "a non-idempotent request ran %d times", ran)
 		}
 		if ran > 2 {
 			fail(a, "more than one retry: ran %d times", ran)
 		}
-		if a.step.Keyed && a.step.Method == "POST" && w.operations[a.operation] > 1 {
+		if a.step.Keyed && a.step.Method == http.MethodPost && w.operations[a.operation] > 1 {
 			fail(a, "the key's request ran %d times", w.operations[a.operation])
 		}
 		if a.step.Kind == "last" && (a.status == 0 || a.status == http.StatusConflict) {
@@ -292,7 +294,9 @@
 // this request.
 func (a answer) isOwn() bool {
 	var size, execution int
-	_, _ = fmt.Sscanf(a.step.Query[strings.Index(a.step.Query, "size="):], "size=%d", &size)
+	if query, err := url.ParseQuery(a.step.Query); err == nil {
+		size, _ = strconv.Atoi(query.Get("size"))
+	}
 	content := "x"
 	if a.step.Other {
 		content = "y"
