Add the load tool and its experiments

Cause: the bounds for added latency, processor time, overload, slow upstreams and retries had no measurement.

Change: 'jaygw load' sends an open-loop load and reports percentiles, goodput and refusals as text, JSON and SVG.

--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -17,6 +17,7 @@
 	// Commander runs one command.
 	Commander struct {
 		options Options
+		load    loadOptions
 		out     io.Writer
 		err     io.Writer
 		parser  *flaggy.Parser
@@ -49,6 +50,7 @@
 	c.addDaemons()
 	c.addDocuments()
 	c.addEstate()
+	c.addLoad()
 	return c
 }
 
