Count promises at run time, serve metrics, measure capacity

Cause: operators cannot see whether a promise was broken, and nothing measured says what the target size costs. Change: internal/observe/auditor checks each applied change; /metrics on each daemon; make capacity measures each role at 1/8, 1/4, 1/2 and 1 of the target.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test ci bench fuzz generate size
+.PHONY: build test ci bench fuzz generate size capacity
 
 build:
 	go build -o bin/jaygw ./cmd/jaygw
@@ -23,3 +23,7 @@
 # Prints the share of test lines in the code.
 size:
 	@bash .ci/size
+
+# Prints what each role costs at parts of the target size; see docs/CAPACITY.md.
+capacity:
+	go run ./cmd/jaygw-capacity
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/announcer"
@@ -34,5 +35,8 @@
 		executor.New(p.settings.Group, vm, incarnation),
 		announcer.WithLogger(p.log))
 	p.group.Go(func() error { return session.Run(ctx) })
+	if p.listeners.Operators != nil {
+		p.serveHTTP(ctx, p.listeners.Operators, http.NotFoundHandler(), func() {})
+	}
 	return nil
 }
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/meter"
 	"github.com/jaygw/jaygw/internal/observe/recorder"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -24,6 +26,7 @@
 		listeners Listeners
 		log       *logrus.Logger
 		recorder  *recorder.Recorder
+		registry  metrics.Registry
 		dialer    *dialer.Dialer
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
@@ -64,6 +67,7 @@
 	p := &Process{
 		settings: settings,
 		recorder: recorder.New(settings.Name, settings.Domain),
+		registry: metrics.NewRegistry(),
 		dialer:   dialer.New(),
 		mux:      drpcmux.New(),
 	}
@@ -132,7 +136,7 @@
 // requests in flight.
 func (p *Process) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, drain func()) {
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           meter.Handler(p.registry, handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    orDefault(p.settings.Limits.HeaderBytes, defaultHeaderBytes),
--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -8,6 +8,7 @@
 	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/jaygw/jaygw/internal/control/coordinator"
 	"github.com/jaygw/jaygw/internal/control/server"
+	"github.com/jaygw/jaygw/internal/observe/auditor"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
@@ -20,7 +21,9 @@
 	scheduling := dispatcher.New(dispatcher.WithLogger(p.log))
 	machine := applier.New(p.settings.Group,
 		applier.WithObserver(scheduling.Observer()),
-		applier.WithObserver(&narrator{recorder: p.recorder}))
+		applier.WithObserver(&narrator{recorder: p.recorder}),
+		applier.WithObserver(auditor.New(p.registry, p.log)),
+		applier.WithObserver(newTally(p.registry)))
 	self := jaygw.Member{ID: control.ID, Name: p.settings.Name, Address: p.address(), Domain: p.settings.Domain, Voter: true}
 	replica, err := coordinator.Open(
 		coordinator.Settings{Group: p.settings.Group, Self: self, Folder: control.DataFolder},
--- /dev/null
+++ b/internal/load/surveyor/table.go
@@ -0,0 +1,90 @@
+package surveyor
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+type (
+	// Fit is a straight line through the figures of several sizes.
+	Fit struct {
+		Base  float64 // at size zero
+		Slope float64 // for each VM
+		Worst float64 // largest deviation of a figure from the line, as a share
+	}
+
+	// row is one measured figure.
+	row struct {
+		name  string
+		unit  string
+		value func(Survey) float64
+	}
+)
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+func rows() []row {
+	return []row{
+		{"replica: state in memory", "MB", func(s Survey) float64 { return s.StateBytes / 1e6 }},
+		{"replica: snapshot", "MB", func(s Survey) float64 { return s.SnapshotBytes / 1e6 }},
+		{"replica: copy of the tables", "ms", func(s Survey) float64 { return micros(s.CopyTime) / 1e3 }},
+		{"replica: encoding a snapshot", "ms", func(s Survey) float64 { return micros(s.EncodeTime) / 1e3 }},
+		{"replica: CPU per task (grant, start, end)", "us", func(s Survey) float64 { return micros(s.StartCPU) }},
+		{"replica: log per task (grant, start, end)", "bytes", func(s Survey) float64 { return s.StartBytes }},
+		{"replica: CPU per document change", "us", func(s Survey) float64 { return micros(s.ChangeCPU) }},
+		{"leader: CPU per renewal", "us", func(s Survey) float64 { return micros(s.RenewalCPU) }},
+		{"leader: CPU per whole view", "us", func(s Survey) float64 { return micros(s.ViewCPU) }},
+		{"entry: whole view", "KB", func(s Survey) float64 { return s.ViewBytes / 1e3 }},
+		{"agent: tasks", "", func(s Survey) float64 { return float64(s.TasksPerVM) }},
+		{"agent: CPU per renewal", "us", func(s Survey) float64 { return micros(s.AgentCPU) }},
+		{"agent: renewal", "bytes", func(s Survey) float64 { return s.RequestBytes }},
+		{"agent: response", "bytes", func(s Survey) float64 { return s.ResponseBytes }},
+		{"agent: state in memory", "KB", func(s Survey) float64 { return s.AgentLiveBytes / 1e3 }},
+	}
+}
+
+// Write prints the surveys side by side, with the line through them.
+func Write(out io.Writer, surveys []Survey) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "figure\tunit\t")
+	for _, s := range surveys {
+		fmt.Fprintf(w, "%d VMs, %d tasks\t", s.Size.VMs, s.Size.Tasks())
+	}
+	fmt.Fprintln(w, "base\tper 100 VMs\tworst\t")
+	for _, r := range rows() {
+		fmt.Fprintf(w, "%s\t%s\t", r.name, r.unit)
+		for _, s := range surveys {
+			fmt.Fprintf(w, "%.2f\t", r.value(s))
+		}
+		fit := fitLine(surveys, r.value)
+		fmt.Fprintf(w, "%.2f\t%.3f\t%.0f%%\t\n", fit.Base, fit.Slope*100, fit.Worst*100)
+	}
+	return w.Flush()
+}
+
+// fitLine returns the line of least squares over the number of VMs.
+func fitLine(surveys []Survey, value func(Survey) float64) Fit {
+	var n, sx, sy, sxx, sxy float64
+	for _, s := range surveys {
+		x, y := float64(s.Size.VMs), value(s)
+		n++
+		sx += x
+		sy += y
+		sxx += x * x
+		sxy += x * y
+	}
+	var fit Fit
+	if d := n*sxx - sx*sx; d != 0 {
+		fit.Slope = (n*sxy - sx*sy) / d
+	}
+	fit.Base = (sy - fit.Slope*sx) / n
+	for _, s := range surveys {
+		if y := value(s); y != 0 {
+			deviation := (fit.Base + fit.Slope*float64(s.Size.VMs) - y) / y
+			fit.Worst = max(fit.Worst, deviation, -deviation)
+		}
+	}
+	return fit
+}
--- /dev/null
+++ b/internal/observe/meter/meter.go
@@ -0,0 +1,40 @@
+// Package meter serves a process's metrics as JSON.
+package meter
+
+import (
+	"net/http"
+	"runtime"
+	"syscall"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// Path is where each daemon serves its metrics.
+const Path = "/metrics"
+
+// Handler serves the metrics of a registry at Path, and everything else by next.
+func Handler(registry metrics.Registry, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != Path {
+			next.ServeHTTP(w, r)
+			return
+		}
+		recordProcess(registry)
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(registry, w)
+	})
+}
+
+// recordProcess updates the figures of the process itself.
+func recordProcess(registry metrics.Registry) {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, registry).Update(value) }
+	gauge("process.heap-bytes", int64(stats.HeapAlloc))
+	gauge("process.system-bytes", int64(stats.Sys))
+	gauge("process.goroutines", int64(runtime.NumGoroutine()))
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err == nil {
+		gauge("process.cpu-nanos", usage.Utime.Nano()+usage.Stime.Nano())
+	}
+}
