--- a/control.go
+++ b/control.go
@@ -64,29 +64,49 @@
 		Reset()
 	}
 
-	// Worker is the platform's worker on one VM.
+	// Worker is the platform's worker on one VM. Times are readings of the
+	// agent's monotonic clock.
 	Worker interface {
 		// Start runs an attempt, from a checkpoint if there is one, until it ends
-		// or the lease does.
-		Start(ctx context.Context, permit Permit, lease time.Duration) error
-		// Extend renews the lease of every attempt of the kind.
-		Extend(ctx context.Context, kind TaskKind, lease time.Duration) error
+		// or the lease does. An error tells nothing about whether the attempt
+		// runs; Stop does.
+		Start(ctx context.Context, permit Permit, window StartWindow) error
+		// Extend moves the lease end of every attempt of the kind; it never moves
+		// one to an earlier time.
+		Extend(ctx context.Context, kind TaskKind, leaseEnd time.Time) error
 		// Checkpoint makes the attempt write a checkpoint and returns it.
 		Checkpoint(ctx context.Context, attempt Attempt) (Checkpoint, error)
 		// Throttle limits the attempt to a share of its size, in percent.
 		Throttle(ctx context.Context, attempt Attempt, percent int) error
 		// Stop ends an attempt and returns its last checkpoint. Stopping an
-		// attempt that does not run is no error.
+		// attempt that does not run is no error. The attempt never starts
+		// afterwards.
 		Stop(ctx context.Context, attempt Attempt) (Checkpoint, error)
 		// List returns all attempts that run or have ended since the last call
 		// of Forget.
-		List(ctx context.Context) ([]WorkerTask, error)
+		List(ctx context.Context) (WorkerList, error)
 		// Forget drops the record of an ended attempt.
 		Forget(ctx context.Context, attempt Attempt) error
 		// Usage returns the observed use, which lags behind.
 		Usage(ctx context.Context) ([]Usage, error)
 	}
 
+	// StartWindow bounds a start: the worker refuses it from By on and ends the
+	// attempt at LeaseEnd.
+	StartWindow struct {
+		By       time.Time
+		LeaseEnd time.Time
+	}
+
+	// WorkerList is what a worker holds.
+	WorkerList struct {
+		// Instance names the life of the VM. It changes when the VM is replaced or
+		// restarted, and stays when only the worker's or the agent's process
+		// restarts.
+		Instance string       `json:"instance"`
+		Tasks    []WorkerTask `json:"tasks"`
+	}
+
 	// WorkerTaskState is the state of an attempt on a worker.
 	WorkerTaskState string
 
--- a/internal/agent/announcer/announcer.go
+++ b/internal/agent/announcer/announcer.go
@@ -5,12 +5,16 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/executor"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 )
 
 type (
@@ -21,16 +25,16 @@
 
 	// Announcer runs an agent's session.
 	Announcer struct {
-		session Session
-		worker  jaygw.Worker
-		log     logrus.FieldLogger
-		urgent  chan struct{} // a report is waiting
+		session  Session
+		worker   jaygw.Worker
+		instance string
+		log      logrus.FieldLogger
+		urgent   chan struct{} // a report is waiting
 
 		mu       sync.Mutex
 		executor *executor.Executor
 		usage    []jaygw.Usage
 		heard    time.Time // last response
-		out      bool      // the failure domain is out
 	}
 
 	// Option changes a new Announcer.
@@ -40,22 +44,61 @@
 const (
 	hold         = 800 * time.Millisecond
 	renewTimeout = 2 * time.Second
-	retryPause   = 200 * time.Millisecond
 	pollInterval = 100 * time.Millisecond
 	usagePolls   = 10 // polls of the list for each poll of the usage
 	callTimeout  = 5 * time.Second
+
+	// firstSpread spreads the first renewals of agents that start together.
+	firstSpread = 500 * time.Millisecond
+
+	// minCycle is the shortest time between two held renewals.
+	minCycle = 50 * time.Millisecond
+
+	// Failed renewals are tried again after a random part of a pause that doubles
+	// from minRetry to maxRetry.
+	minRetry = 100 * time.Millisecond
+	maxRetry = time.Second
+
+	// leaveSilence is how long a leaving agent waits for a control group that
+	// does not answer. Its tasks then end with their leases.
+	leaveSilence = 3 * time.Second
+
+	leavePoll = 50 * time.Millisecond
 )
 
+// ErrInstance is returned when the worker belongs to another life of the VM
+// than the agent: the agent has to start again with a new incarnation.
+var ErrInstance = errors.New("the VM's instance has changed")
+
 // WithLogger sets the logger.
 func WithLogger(log logrus.FieldLogger) Option {
 	return func(a *Announcer) { a.log = log }
 }
 
-// New returns an announcer for an executor and its worker.
-func New(session Session, worker jaygw.Worker, e *executor.Executor, options ...Option) *Announcer {
+// Instance asks the worker for the life of the VM until it answers or the
+// context ends.
+func Instance(ctx context.Context, worker jaygw.Worker, log logrus.FieldLogger) (string, error) {
+	for failures := 0; ; failures++ {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		list, err := worker.List(call)
+		cancel()
+		if err == nil {
+			return list.Instance, nil
+		}
+		log.Warnf("agent: the worker does not answer: %v", err)
+		if !backOff(ctx, failures) {
+			return "", eris.Wrap(ctx.Err(), "wait for the worker")
+		}
+	}
+}
+
+// New returns an announcer for an executor and the worker on an instance of the
+// VM.
+func New(session Session, worker jaygw.Worker, instance string, e *executor.Executor, options ...Option) *Announcer {
 	a := &Announcer{
 		session:  session,
 		worker:   worker,
+		instance: instance,
 		log:      logrus.StandardLogger(),
 		urgent:   make(chan struct{}, 1),
 		executor: e,
@@ -68,74 +111,101 @@
 
 // Run keeps the session until the context ends.
 func (a *Announcer) Run(ctx context.Context) error {
-	if err := a.adopt(ctx); err != nil {
-		return err
+	// The attempts on the worker are adopted before the first renewal lists what
+	// the agent knows.
+	for failures := 0; ; failures++ {
+		err := a.poll(ctx, true)
+		if err == nil {
+			break
+		}
+		if errors.Is(err, ErrInstance) {
+			return err
+		}
+		if !backOff(ctx, failures) {
+			return nil
+		}
 	}
-	var group sync.WaitGroup
-	for _, loop := range []func(context.Context){a.renewals, a.urgentRenewals, a.polls} {
-		group.Go(func() { loop(ctx) })
+	if !pause(ctx, rand.N(firstSpread)) {
+		return nil
 	}
-	group.Wait()
-	return nil
+	group, ctx := errgroup.WithContext(ctx)
+	for _, loop := range []func(context.Context) error{a.renewals, a.urgentRenewals, a.polls} {
+		group.Go(func() error { return loop(ctx) })
+	}
+	return group.Wait()
 }
 
-// Leave announces that the VM is leaving.
-func (a *Announcer) Leave() {
+// Leave announces that the VM is leaving and returns once nothing runs on it and
+// every report is acknowledged, the context has ended, or the control group has
+// been silent for too long.
+func (a *Announcer) Leave(ctx context.Context) {
 	a.mu.Lock()
 	a.executor.Leave()
+	a.heard = time.Now()
 	a.mu.Unlock()
 	a.report()
+	for pause(ctx, leavePoll) {
+		a.mu.Lock()
+		idle := a.executor.Idle()
+		silent := time.Since(a.heard) > leaveSilence
+		a.mu.Unlock()
+		if idle || silent {
+			return
+		}
+	}
 }
 
 // DomainOut reports whether the control group has taken the failure domain out.
 func (a *Announcer) DomainOut() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.out
-}
-
-func (a *Announcer) adopt(ctx context.Context) error {
-	for {
-		tasks, err := a.worker.List(ctx)
-		if err == nil {
-			a.mu.Lock()
-			a.executor.Adopt(tasks)
-			a.mu.Unlock()
-			return nil
-		}
-		a.log.Warnf("agent: the worker does not answer: %v", err)
-		if !pause(ctx, retryPause) {
-			return nil
-		}
-	}
+	return a.executor.DomainOut()
 }
 
 // renewals keeps one renewal waiting at the leader.
-func (a *Announcer) renewals(ctx context.Context) {
+func (a *Announcer) renewals(ctx context.Context) error {
+	failures := 0
 	for ctx.Err() == nil {
+		begun := time.Now()
 		if !a.renew(ctx, hold) {
-			pause(ctx, retryPause)
+			backOff(ctx, failures)
+			failures++
+			continue
 		}
+		failures = 0
+		pause(ctx, minCycle-time.Since(begun))
 	}
+	return nil
 }
 
 // urgentRenewals sends reports at once.
-func (a *Announcer) urgentRenewals(ctx context.Context) {
+func (a *Announcer) urgentRenewals(ctx context.Context) error {
+	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-a.urgent:
 		}
-		if !a.renew(ctx, 0) && pause(ctx, retryPause) {
-			a.report()
+		if a.renew(ctx, 0) {
+			failures = 0
+			continue
 		}
+		backOff(ctx, failures)
+		failures++
+		a.report()
 	}
 }
 
 func (a *Announcer) renew(ctx context.Context, hold time.Duration) bool {
 	a.mu.Lock()
-	renewal := a.executor.Renew(time.Now(), a.usage, hold)
+	now := time.Now()
+	if !a.executor.MayRenew(now) {
+		a.mu.Unlock()
+		a.log.Warnf("agent: the lease is not renewed, because the worker does not answer")
+		return false
+	}
+	renewal := a.executor.Renew(now, a.usage, hold)
 	a.usage = nil
 	a.mu.Unlock()
 
@@ -149,69 +219,74 @@
 		a.log.Debugf("agent: the lease was not renewed: %v", err)
 		return false
 	}
-	now := time.Now()
 	a.mu.Lock()
-	steps := a.executor.Renewed(result, now)
-	batch, service := a.executor.Leases(now)
-	a.heard = now
-	a.out = result.DomainOut
+	a.heard = time.Now()
+	steps := a.executor.Renewed(result, a.heard)
+	batch, service := a.executor.LeaseEnds()
 	a.mu.Unlock()
-	a.extend(ctx, batch, service)
 	a.perform(steps)
+	a.extend(ctx, jaygw.BatchTask, batch)
+	a.extend(ctx, jaygw.ServiceTask, service)
 	return true
 }
 
-func (a *Announcer) extend(ctx context.Context, batch, service time.Duration) {
-	for kind, lease := range map[jaygw.TaskKind]time.Duration{jaygw.BatchTask: batch, jaygw.ServiceTask: service} {
-		if err := a.worker.Extend(ctx, kind, lease); err != nil {
-			a.log.Warnf("agent: the worker did not extend the %s lease: %v", kind, err)
-		}
+func (a *Announcer) extend(ctx context.Context, kind jaygw.TaskKind, end time.Time) {
+	if err := a.worker.Extend(ctx, kind, end); err != nil {
+		a.log.Warnf("agent: the worker did not extend the %s lease: %v", kind, err)
 	}
 }
 
 // polls reads the worker's list and usage, and stops attempts whose lease ends.
-func (a *Announcer) polls(ctx context.Context) {
+func (a *Announcer) polls(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-ticker.C:
 		}
 		a.mu.Lock()
 		steps := a.executor.Tick(time.Now())
 		a.mu.Unlock()
 		a.perform(steps)
-		a.poll(ctx, n%usagePolls == 0)
+		if err := a.poll(ctx, n%usagePolls == 0); errors.Is(err, ErrInstance) {
+			return err
+		}
 	}
 }
 
-func (a *Announcer) poll(ctx context.Context, usage bool) {
+func (a *Announcer) poll(ctx context.Context, usage bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	tasks, err := a.worker.List(ctx)
+	begun := time.Now()
+	list, err := a.worker.List(ctx)
 	if err != nil {
 		a.log.Debugf("agent: the worker did not list its tasks: %v", err)
-		return
+		return err
+	}
+	if list.Instance != a.instance {
+		return eris.Wrapf(ErrInstance, "the worker is of instance %s, the agent of %s", list.Instance, a.instance)
 	}
 	a.mu.Lock()
-	a.executor.Listed(tasks)
+	steps := a.executor.Listed(list.Tasks, begun, time.Now())
 	pending := a.executor.Pending()
 	a.mu.Unlock()
+	a.perform(steps)
 	if pending {
 		a.report()
 	}
 	if !usage {
-		return
+		return nil
 	}
 	observed, err := a.worker.Usage(ctx)
 	if err != nil {
-		return
+		return nil //nolint:nilerr // usage is an estimate; the next poll brings a newer one
 	}
 	a.mu.Lock()
 	a.usage = observed
 	a.mu.Unlock()
+	return nil
 }
 
 // perform calls the worker. Each call runs by itself: a slow one must not delay
@@ -225,31 +300,59 @@
 func (a *Announcer) performOne(step executor.Step) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	id := step.Attempt
 	switch {
 	case step.Start != nil:
-		err := a.worker.Start(ctx, *step.Start, step.Lease)
-		a.mu.Lock()
-		a.executor.Started(step.Attempt, err, time.Now())
-		a.mu.Unlock()
+		a.start(ctx, *step.Start)
+	case step.Forget:
+		if err := a.worker.Forget(ctx, id); err != nil {
+			a.log.Debugf("agent: the worker keeps its record of task %s: %v", id.Task, err)
+		}
+		return
 	case step.Action == jaygw.ActionStop || step.Action == jaygw.ActionKill:
-		checkpoint, err := a.worker.Stop(ctx, step.Attempt)
+		checkpoint, err := a.worker.Stop(ctx, id)
+		if err != nil {
+			a.log.Warnf("agent: task %s was not stopped: %v", id.Task, err)
+		}
 		a.mu.Lock()
-		a.executor.Stopped(step.Attempt, checkpoint, err)
+		a.executor.Stopped(id, checkpoint, err, time.Now())
 		a.mu.Unlock()
 	case step.Action == jaygw.ActionCheckpoint:
-		if checkpoint, err := a.worker.Checkpoint(ctx, step.Attempt); err == nil {
-			a.mu.Lock()
-			a.executor.Checkpointed(step.Attempt, checkpoint)
-			a.mu.Unlock()
+		checkpoint, err := a.worker.Checkpoint(ctx, id)
+		if err != nil {
+			a.log.Debugf("agent: task %s wrote no checkpoint: %v", id.Task, err)
+			return
 		}
+		a.mu.Lock()
+		a.executor.Checkpointed(id, checkpoint)
+		a.mu.Unlock()
 	case step.Action == jaygw.ActionThrottle:
-		if err := a.worker.Throttle(ctx, step.Attempt, step.Percent); err != nil {
-			a.log.Debugf("agent: task %s was not throttled: %v", step.Attempt.Task, err)
+		if err := a.worker.Throttle(ctx, id, step.Percent); err != nil {
+			a.log.Debugf("agent: task %s was not throttled: %v", id.Task, err)
 		}
+		return
 	}
 	a.report()
 }
 
+func (a *Announcer) start(ctx context.Context, permit jaygw.Permit) {
+	a.mu.Lock()
+	window, admitted := a.executor.Admit(permit.Attempt, time.Now())
+	a.mu.Unlock()
+	if !admitted {
+		a.log.Infof("agent: task %s was not started, its permit is over", permit.Attempt.Task)
+		return
+	}
+	err := a.worker.Start(ctx, permit, window)
+	if err != nil {
+		a.log.Warnf("agent: the start of task %s failed: %v", permit.Attempt.Task, err)
+	}
+	a.mu.Lock()
+	steps := a.executor.Started(permit.Attempt, err, time.Now())
+	a.mu.Unlock()
+	a.perform(steps)
+}
+
 // report has the reports sent now.
 func (a *Announcer) report() {
 	select {
@@ -258,7 +361,16 @@
 	}
 }
 
+// backOff pauses after a number of failures in a row.
+func backOff(ctx context.Context, failures int) bool {
+	longest := min(minRetry<<min(failures, 10), maxRetry)
+	return pause(ctx, longest/2+rand.N(longest/2))
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/agent/executor/executor.go
+++ b/internal/agent/executor/executor.go
@@ -3,8 +3,8 @@
 package executor
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -20,8 +20,10 @@
 
 		sequence  uint64
 		sent      map[uint64]time.Time // renewals without a response, by sequence
+		latest    uint64               // highest renewal that was answered
 		announced bool
 		served    uint64
+		domainOut bool
 
 		attempts map[jaygw.Attempt]*attempt
 		fences   map[jaygw.TaskID]fence
@@ -31,14 +33,21 @@
 
 		batchEnd   time.Time
 		serviceEnd time.Time
+		listed     time.Time // last list of the worker
 	}
 
 	// phase is what an attempt on the VM is doing.
 	phase int
 
 	attempt struct {
-		kind  jaygw.TaskKind
-		phase phase
+		kind     jaygw.TaskKind
+		phase    phase
+		since    time.Time // start of the phase
+		listedIn uint64    // first renewal that has the attempt in its list
+		by       time.Time // end of the permit
+		progress jaygw.Duration
+		failure  string    // reported once the attempt is known to be over
+		stopAt   time.Time // next try of a failed stop; zero while one is under way
 	}
 
 	// fence is the highest epoch of a task that may no longer start here.
@@ -50,10 +59,10 @@
 	// Step is one action for the worker.
 	Step struct {
 		Attempt jaygw.Attempt
-		Start   *jaygw.Permit // set to start the attempt
+		Start   *jaygw.Permit // set to start the attempt, after Admit
+		Forget  bool          // drop the worker's record
 		Action  jaygw.Action  // otherwise what to do with it
 		Percent int
-		Lease   time.Duration // time left, for a start
 	}
 )
 
@@ -66,12 +75,20 @@
 	// stopAhead is how long before the end of a lease its attempts are stopped.
 	stopAhead = time.Second
 
+	// stopRetry is the pause before a failed stop is tried again.
+	stopRetry = 500 * time.Millisecond
+
 	// fenceRetention is how long a fence is kept. It is longer than a permit is
 	// valid, so that no permit can pass after its fence is dropped.
 	fenceRetention = 10 * jaygw.PermitValidity
 
 	// sentRetention is how long a renewal without a response is remembered.
 	sentRetention = 2 * jaygw.ServiceLease
+
+	// workerSilence is the time without a list after which the lease is no longer
+	// renewed. The worker ends its attempts with their leases; if the agent went
+	// on renewing, the control state would count them as running for good.
+	workerSilence = 5 * time.Second
 )
 
 // New returns the executor of a new incarnation of an agent.
@@ -87,19 +104,15 @@
 	}
 }
 
-// Adopt takes over the attempts that the worker lists when the agent starts.
-func (e *Executor) Adopt(tasks []jaygw.WorkerTask) {
-	for _, task := range tasks {
-		e.attempts[task.Attempt] = &attempt{kind: task.Kind, phase: running}
-	}
-	e.Listed(tasks)
-}
-
 // Leave makes the next renewals announce that the VM is leaving.
-func (e *Executor) Leave() {
-	e.vm.Leaving = true
-	e.announced = false
-}
+func (e *Executor) Leave() { e.vm.Leaving = true }
+
+// Idle reports whether nothing is left on the VM and every report is
+// acknowledged.
+func (e *Executor) Idle() bool { return len(e.attempts) == 0 && len(e.reports) == 0 }
+
+// MayRenew reports whether the worker has answered lately.
+func (e *Executor) MayRenew(now time.Time) bool { return now.Sub(e.listed) <= workerSilence }
 
 // Renew returns the next renewal, which is sent at now.
 func (e *Executor) Renew(now time.Time, usage []jaygw.Usage, hold time.Duration) jaygw.Renewal {
@@ -110,7 +123,9 @@
 		Group: e.group, VM: e.vm.Name, Incarnation: e.incarnation, Sequence: e.sequence,
 		Reports: slices.Clone(e.reports), Usage: usage, Known: e.known(), Served: e.served, Hold: hold,
 	}
-	if !e.announced {
+	// While the VM leaves, every renewal says so: an older announcement that
+	// arrives late must not undo it.
+	if !e.announced || e.vm.Leaving {
 		vm := e.vm
 		r.Announce = &vm
 	}
@@ -122,7 +137,8 @@
 func (e *Executor) Refused() { e.announced = false }
 
 // Renewed takes the response to a renewal and returns what to do. Permits and
-// leases count from when the renewal was sent.
+// leases count from when the renewal was sent. A response that was handled
+// before, or is for another incarnation, is dropped.
 func (e *Executor) Renewed(result jaygw.RenewalResult, now time.Time) []Step {
 	sent, ok := e.sent[result.Sequence]
 	if !ok || result.Incarnation != e.incarnation {
@@ -130,14 +146,17 @@
 	}
 	delete(e.sent, result.Sequence)
 	e.announced = true
-	e.served = max(e.served, result.Revision)
-	e.acknowledge(result.Acknowledged)
+	if result.Sequence > e.latest {
+		e.latest = result.Sequence
+		e.served = result.Revision
+		e.domainOut = result.DomainOut
+	}
 	e.batchEnd = later(e.batchEnd, sent.Add(result.BatchLease))
 	e.serviceEnd = later(e.serviceEnd, sent.Add(result.ServiceLease))
 
-	var steps []Step
+	steps := e.acknowledge(result.Acknowledged, now)
 	for _, order := range result.Orders {
-		steps = append(steps, e.obey(order, now)...)
+		steps = append(steps, e.obey(order, result.Sequence, now)...)
 	}
 	for _, permit := range result.Permits {
 		steps = append(steps, e.start(permit, sent, now)...)
@@ -145,24 +164,39 @@
 	return steps
 }
 
-// Leases returns the time left of the batch and the service lease.
-func (e *Executor) Leases(now time.Time) (batch, service time.Duration) {
-	return e.batchEnd.Sub(now), e.serviceEnd.Sub(now)
-}
+// LeaseEnds returns the ends of the batch and the service lease.
+func (e *Executor) LeaseEnds() (batch, service time.Time) { return e.batchEnd, e.serviceEnd }
 
-// Tick returns the stops of attempts whose lease is about to end.
+// DomainOut reports whether the last response said that the failure domain is
+// out.
+func (e *Executor) DomainOut() bool { return e.domainOut }
+
+// Tick returns the stops of attempts whose lease is about to end, and the stops
+// that have failed before.
 func (e *Executor) Tick(now time.Time) []Step {
 	var steps []Step
 	for _, id := range e.known() {
 		a := e.attempts[id]
-		if (a.phase == running || a.phase == starting) && now.Add(stopAhead).After(e.leaseEnd(a.kind)) {
-			a.phase = stopping
-			steps = append(steps, Step{Attempt: id, Action: jaygw.ActionStop})
+		switch {
+		case (a.phase == running || a.phase == starting) && now.Add(stopAhead).After(e.leaseEnd(a.kind)):
+			steps = append(steps, e.stop(id, a, now))
+		case a.phase == stopping && !a.stopAt.IsZero() && !now.Before(a.stopAt):
+			steps = append(steps, e.stop(id, a, now))
 		}
 	}
 	return steps
 }
 
+func (e *Executor) stop(id jaygw.Attempt, a *attempt, now time.Time) Step {
+	e.fence(id, now)
+	if a.phase != stopping {
+		a.phase = stopping
+		a.since = now
+	}
+	a.stopAt = time.Time{}
+	return Step{Attempt: id, Action: jaygw.ActionStop}
+}
+
 func (e *Executor) leaseEnd(kind jaygw.TaskKind) time.Time {
 	if kind == jaygw.ServiceTask {
 		return e.serviceEnd
@@ -170,105 +204,190 @@
 	return e.batchEnd
 }
 
+// start prepares a start. A permit that is late, or not covered by the lease, is
+// dropped: the attempt stays unknown, and the next response has a new permit for
+// it or an order to kill it.
 func (e *Executor) start(permit jaygw.Permit, sent, now time.Time) []Step {
 	id := permit.Attempt
-	if f, fenced := e.fences[id.Task]; fenced && id.Epoch <= f.epoch {
+	if _, known := e.attempts[id]; known || e.fenced(id) {
 		return nil
 	}
-	if _, known := e.attempts[id]; known {
-		return nil
+	a := &attempt{
+		kind: permit.Kind, phase: starting, since: now, by: sent.Add(permit.Valid),
+		listedIn: e.sequence + 1, progress: permit.Checkpoint.Progress,
 	}
-	if !now.Before(sent.Add(permit.Valid)) {
-		e.fence(id, now)
-		e.report(jaygw.Report{Attempt: id, Kind: jaygw.NotStarted, Reason: "the start permit arrived late"})
+	if _, ok := e.window(a, now); !ok {
 		return nil
 	}
-	lease := e.leaseEnd(permit.Kind).Sub(now)
-	if lease <= stopAhead {
-		return nil
+	e.attempts[id] = a
+	return []Step{{Attempt: id, Start: &permit}}
+}
+
+// Admit checks a start again, right before the worker is called: the agent may
+// have been paused since the permit arrived. The worker checks the window once
+// more.
+func (e *Executor) Admit(id jaygw.Attempt, now time.Time) (jaygw.StartWindow, bool) {
+	a, ok := e.attempts[id]
+	if !ok || a.phase != starting {
+		return jaygw.StartWindow{}, false
+	}
+	window, ok := e.window(a, now)
+	if !ok {
+		delete(e.attempts, id) // the worker was not called
+	}
+	return window, ok
+}
+
+func (e *Executor) window(a *attempt, now time.Time) (jaygw.StartWindow, bool) {
+	end := e.leaseEnd(a.kind)
+	by := a.by
+	if last := end.Add(-stopAhead); last.Before(by) {
+		by = last
 	}
-	e.attempts[id] = &attempt{kind: permit.Kind, phase: starting}
-	return []Step{{Attempt: id, Start: &permit, Lease: lease}}
+	return jaygw.StartWindow{By: by, LeaseEnd: end}, now.Before(by) && !e.domainOut
 }
 
-func (e *Executor) obey(order jaygw.Order, now time.Time) []Step {
+func (e *Executor) obey(order jaygw.Order, sequence uint64, now time.Time) []Step {
 	id := order.Attempt
 	a, known := e.attempts[id]
-	switch order.Action {
-	case jaygw.ActionStop, jaygw.ActionKill:
-		e.fence(id, now)
-		if known && (a.phase == stopping || a.phase == ended) {
-			return nil
-		}
-		if !known {
-			a = &attempt{}
-			e.attempts[id] = a
-		}
-		a.phase = stopping
-	default:
+	if order.Action != jaygw.ActionStop && order.Action != jaygw.ActionKill {
 		if !known || a.phase != running {
 			return nil
 		}
+		return []Step{{Attempt: id, Action: order.Action, Percent: order.Percent}}
+	}
+	if order.Action == jaygw.ActionKill && known && sequence < a.listedIn {
+		// The leader misses the attempt because the renewal was sent before it
+		// was started.
+		return nil
+	}
+	e.fence(id, now)
+	if known && (a.phase == stopping || a.phase == ended) {
+		return nil
 	}
-	return []Step{{Attempt: id, Action: order.Action, Percent: order.Percent}}
+	if !known {
+		a = &attempt{listedIn: e.sequence + 1}
+		e.attempts[id] = a
+	}
+	return []Step{e.stop(id, a, now)}
 }
 
-// Started takes the result of a start.
-func (e *Executor) Started(id jaygw.Attempt, err error, now time.Time) {
+// Started takes the result of a start. After an error the attempt may run all
+// the same, or start later, so it is stopped before the failure is reported.
+func (e *Executor) Started(id jaygw.Attempt, err error, now time.Time) []Step {
 	a, ok := e.attempts[id]
 	if !ok || a.phase != starting {
-		return
+		return nil
 	}
 	if err != nil {
-		a.phase = ended
-		e.fence(id, now)
-		e.report(jaygw.Report{Attempt: id, Kind: jaygw.AttemptFailed, Reason: err.Error()})
-		return
+		a.failure = err.Error()
+		return []Step{e.stop(id, a, now)}
 	}
 	a.phase = running
+	a.since = now
 	e.report(jaygw.Report{Attempt: id, Kind: jaygw.Started})
+	return nil
 }
 
 // Stopped takes the result of a stop. A failed stop is tried again.
-func (e *Executor) Stopped(id jaygw.Attempt, checkpoint jaygw.Checkpoint, err error) {
+func (e *Executor) Stopped(id jaygw.Attempt, checkpoint jaygw.Checkpoint, err error, now time.Time) {
 	a, ok := e.attempts[id]
 	if !ok || a.phase != stopping {
 		return
 	}
 	if err != nil {
-		a.phase = running
+		a.stopAt = now.Add(stopRetry)
 		return
 	}
+	e.over(id, a, jaygw.Report{Attempt: id, Kind: jaygw.Stopped, Checkpoint: checkpoint, Reason: "stopped"}, now)
+}
+
+// over ends an attempt with its last report.
+func (e *Executor) over(id jaygw.Attempt, a *attempt, last jaygw.Report, now time.Time) {
+	if last.Kind == jaygw.Stopped && a.failure != "" {
+		last.Kind = jaygw.AttemptFailed
+		last.Reason = a.failure
+	}
 	a.phase = ended
-	e.report(jaygw.Report{Attempt: id, Kind: jaygw.Stopped, Checkpoint: checkpoint, Reason: "stopped"})
+	a.since = now
+	e.fence(id, now)
+	e.report(last)
 }
 
 // Checkpointed takes a checkpoint that a running attempt has written.
 func (e *Executor) Checkpointed(id jaygw.Attempt, checkpoint jaygw.Checkpoint) {
-	if a, ok := e.attempts[id]; ok && a.phase == running {
+	if a, ok := e.attempts[id]; ok && a.phase == running && checkpoint.Progress > a.progress {
+		a.progress = checkpoint.Progress
 		e.report(jaygw.Report{Attempt: id, Kind: jaygw.Checkpointed, Checkpoint: checkpoint})
 	}
 }
 
-// Listed takes the worker's list of attempts.
-func (e *Executor) Listed(tasks []jaygw.WorkerTask) {
+// Listed takes the worker's list of attempts, which was asked for at begun. An
+// attempt that the agent does not know was started by its last process and is
+// adopted. An attempt that the worker no longer has is stopped and reported as
+// failed.
+func (e *Executor) Listed(tasks []jaygw.WorkerTask, begun, now time.Time) []Step {
+	e.listed = now
+	var steps []Step
+	present := map[jaygw.Attempt]bool{}
 	for _, task := range tasks {
-		a, ok := e.attempts[task.Attempt]
-		if !ok || a.phase == ended || task.State == jaygw.WorkerRunning {
-			continue
+		present[task.Attempt] = true
+		steps = append(steps, e.listedOne(task, begun, now)...)
+	}
+	for _, id := range e.known() {
+		a := e.attempts[id]
+		if a.phase == running && a.since.Before(begun) && !present[id] {
+			a.failure = "the worker no longer has the attempt"
+			steps = append(steps, e.stop(id, a, now))
 		}
-		a.phase = ended
-		report := jaygw.Report{Attempt: task.Attempt, Checkpoint: task.Checkpoint, Reason: task.Reason}
-		switch task.State {
-		case jaygw.WorkerCompleted:
-			report.Kind = jaygw.Completed
-		case jaygw.WorkerFailed:
-			report.Kind = jaygw.AttemptFailed
-		default:
-			report.Kind = jaygw.Stopped
+	}
+	return steps
+}
+
+func (e *Executor) listedOne(task jaygw.WorkerTask, begun, now time.Time) []Step {
+	id := task.Attempt
+	a, known := e.attempts[id]
+	if !known && e.fenced(id) {
+		return e.leftOver(task, begun, now)
+	}
+	if !known {
+		a = &attempt{kind: task.Kind, phase: running, since: now, listedIn: e.sequence + 1, progress: task.Checkpoint.Progress}
+		e.attempts[id] = a
+		if task.State == jaygw.WorkerRunning {
+			// The last process may have ended before it reported the start.
+			e.report(jaygw.Report{Attempt: id, Kind: jaygw.Started})
 		}
-		e.report(report)
 	}
+	if a.phase == ended {
+		return nil
+	}
+	last := jaygw.Report{Attempt: id, Kind: jaygw.Stopped, Checkpoint: task.Checkpoint, Reason: task.Reason}
+	switch task.State {
+	case jaygw.WorkerRunning:
+		e.Checkpointed(id, task.Checkpoint)
+		return nil
+	case jaygw.WorkerCompleted:
+		last.Kind = jaygw.Completed
+	case jaygw.WorkerFailed:
+		last.Kind = jaygw.AttemptFailed
+	}
+	e.over(id, a, last, now)
+	return nil
+}
+
+// leftOver handles an attempt on the worker's list that may not run here. A list
+// that is older than the fence tells nothing.
+func (e *Executor) leftOver(task jaygw.WorkerTask, begun, now time.Time) []Step {
+	id := task.Attempt
+	if !e.fences[id.Task].since.Before(begun) {
+		return nil
+	}
+	if task.State != jaygw.WorkerRunning {
+		return []Step{{Attempt: id, Forget: true}}
+	}
+	a := &attempt{kind: task.Kind, listedIn: e.sequence + 1}
+	e.attempts[id] = a
+	return []Step{e.stop(id, a, now)}
 }
 
 // Pending reports whether there are reports that were not yet acknowledged.
@@ -279,25 +398,40 @@
 	e.reports = append(e.reports, jaygw.SequencedReport{Sequence: e.lastReport, Report: r})
 }
 
-// acknowledge drops committed reports and the attempts that ended with them.
-func (e *Executor) acknowledge(sequence uint64) {
-	kept := e.reports[:0]
+// acknowledge drops committed reports and the attempts that ended with them. The
+// worker may drop its record only now: until then a new agent process needs it.
+func (e *Executor) acknowledge(sequence uint64, now time.Time) []Step {
+	var steps []Step
+	var kept []jaygw.SequencedReport
 	for _, r := range e.reports {
 		if r.Sequence > sequence {
 			kept = append(kept, r)
-			continue
-		}
-		if a, ok := e.attempts[r.Report.Attempt]; ok && a.phase == ended {
-			delete(e.attempts, r.Report.Attempt)
 		}
 	}
+	acknowledged := e.reports[:len(e.reports)-len(kept)]
 	e.reports = kept
+	for _, r := range acknowledged {
+		id := r.Report.Attempt
+		if a, ok := e.attempts[id]; ok && a.phase == ended && !e.reported(id) {
+			e.fence(id, now) // a permit in a response that was overtaken must not start it again
+			delete(e.attempts, id)
+			steps = append(steps, Step{Attempt: id, Forget: true})
+		}
+	}
+	return steps
+}
+
+// reported tells whether a report of the attempt waits for its acknowledgment.
+func (e *Executor) reported(id jaygw.Attempt) bool {
+	return slices.ContainsFunc(e.reports, func(r jaygw.SequencedReport) bool { return r.Report.Attempt == id })
 }
 
 func (e *Executor) fence(id jaygw.Attempt, now time.Time) {
 	e.fences[id.Task] = fence{epoch: max(e.fences[id.Task].epoch, id.Epoch), since: now}
 }
 
+func (e *Executor) fenced(id jaygw.Attempt) bool { return id.Epoch <= e.fences[id.Task].epoch }
+
 func (e *Executor) forget(now time.Time) {
 	for sequence, sent := range e.sent {
 		if now.Sub(sent) > sentRetention {
@@ -319,10 +453,7 @@
 		ids = append(ids, id)
 	}
 	slices.SortFunc(ids, func(a, b jaygw.Attempt) int {
-		if c := strings.Compare(string(a.Task), string(b.Task)); c != 0 {
-			return c
-		}
-		return int(a.Epoch) - int(b.Epoch)
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Epoch, b.Epoch))
 	})
 	return ids
 }
--- a/internal/control/applier/estate.go
+++ b/internal/control/applier/estate.go
@@ -32,6 +32,10 @@
 		vm.Committed = jaygw.Resources{}
 		vm.Since = m.state.Time
 	} else {
+		if !old.Incarnation.SameInstance(vm.Incarnation) && len(m.index.byVM[vm.Name]) > 0 {
+			return jaygw.Refuse(jaygw.RefusedState,
+				"VM %s was replaced; the tasks of its last instance count until their lease is over", vm.Name)
+		}
 		vm.Committed = old.Committed
 		vm.Since = old.Since
 		if old.Incarnation != vm.Incarnation || old.Leaving && !vm.Leaving {
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -19,7 +19,12 @@
 // startAgent starts the agent beside an upstream.
 func (p *Process) startAgent(ctx context.Context) error {
 	worker := p.settings.Worker
-	incarnation := jaygw.Incarnation(rand.Uint64())
+	platform := connector.New(worker.Address)
+	instance, err := announcer.Instance(ctx, platform, p.log)
+	if err != nil {
+		return err
+	}
+	incarnation := jaygw.NewIncarnation(instance, rand.Uint32())
 	admission := limiter.New(worker.Slots, orDefault(p.settings.Limits.QueueLength, defaultQueueLength))
 	if err := messenger.DRPCRegisterUpstream(p.mux, server.New(worker.Address, incarnation, admission)); err != nil {
 		return err
@@ -30,9 +35,27 @@
 	}
 	session := announcer.New(
 		client.New(p.settings.Group, p.settings.Peers, p.dialer),
-		connector.New(worker.Address),
+		platform, instance,
 		executor.New(p.settings.Group, vm, incarnation),
 		announcer.WithLogger(p.log))
-	p.group.Go(func() error { return session.Run(ctx) })
+	// The session outlives the end of the context until the VM has left.
+	sessionCtx, end := context.WithCancel(context.WithoutCancel(ctx))
+	p.group.Go(func() error {
+		defer end()
+		return session.Run(sessionCtx)
+	})
+	p.group.Go(func() error {
+		defer end()
+		select {
+		case <-ctx.Done():
+		case <-sessionCtx.Done():
+			return nil
+		}
+		limit := orDefault(p.settings.Limits.DrainTimeout.Std(), defaultDrain)
+		leaveCtx, cancel := context.WithTimeout(sessionCtx, limit)
+		defer cancel()
+		session.Leave(leaveCtx)
+		return nil
+	})
 	return nil
 }
--- a/internal/platform/connector/connector.go
+++ b/internal/platform/connector/connector.go
@@ -5,9 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -19,6 +22,21 @@
 	Connector struct {
 		base   string
 		client *http.Client
+
+		mu       sync.Mutex
+		instance string
+		reading  reading
+	}
+
+	// Clock is a reading of the worker's monotonic clock, in nanoseconds.
+	Clock int64
+
+	// reading is the worker's clock in a response, and when that response had
+	// arrived. The clock was read earlier, so a time that is converted with it
+	// comes out early, never late.
+	reading struct {
+		worker Clock
+		agent  time.Time
 	}
 
 	// Option changes a new Connector.
@@ -26,14 +44,17 @@
 
 	// StartRequest is the body of a start.
 	StartRequest struct {
-		Permit jaygw.Permit   `json:"permit"`
-		Lease  jaygw.Duration `json:"lease"`
+		Instance string       `json:"instance"`
+		Permit   jaygw.Permit `json:"permit"`
+		By       Clock        `json:"by"`
+		LeaseEnd Clock        `json:"lease-end"`
 	}
 
 	// ExtendRequest is the body of a lease renewal.
 	ExtendRequest struct {
-		Kind  jaygw.TaskKind `json:"kind"`
-		Lease jaygw.Duration `json:"lease"`
+		Instance string         `json:"instance"`
+		Kind     jaygw.TaskKind `json:"kind"`
+		LeaseEnd Clock          `json:"lease-end"`
 	}
 
 	// ThrottleRequest is the body of a throttle.
@@ -53,12 +74,20 @@
 	// Prefix is the path below which the worker's interface is served.
 	Prefix = "/platform/tasks"
 
+	// ClockHeader carries the worker's clock in each response.
+	ClockHeader = "jaygw-worker-clock"
+
 	callTimeout    = 5 * time.Second
 	maxResultBytes = 16 << 20
 	maxDetailBytes = 512
 )
 
-var _ jaygw.Worker = (*Connector)(nil)
+var (
+	_ jaygw.Worker = (*Connector)(nil)
+
+	// ErrNoClock is returned for starts and lease ends before the first list.
+	ErrNoClock = errors.New("the worker's clock is not known yet")
+)
 
 // WithClient replaces the HTTP client.
 func WithClient(client *http.Client) Option {
@@ -78,17 +107,36 @@
 func (e *StatusError) Error() string { return e.Detail }
 
 // Start runs an attempt.
-func (c *Connector) Start(ctx context.Context, permit jaygw.Permit, lease time.Duration) error {
-	_, err := call[struct{}](ctx, c, "/start", StartRequest{Permit: permit, Lease: jaygw.Duration(lease)})
+func (c *Connector) Start(ctx context.Context, permit jaygw.Permit, window jaygw.StartWindow) error {
+	instance, at := c.clock()
+	if instance == "" {
+		return ErrNoClock
+	}
+	_, err := call[struct{}](ctx, c, "/start", StartRequest{
+		Instance: instance, Permit: permit, By: at.convert(window.By), LeaseEnd: at.convert(window.LeaseEnd),
+	})
 	return err
 }
 
-// Extend renews the leases of a kind.
-func (c *Connector) Extend(ctx context.Context, kind jaygw.TaskKind, lease time.Duration) error {
-	_, err := call[struct{}](ctx, c, "/extend", ExtendRequest{Kind: kind, Lease: jaygw.Duration(lease)})
+// Extend moves the lease end of the attempts of a kind.
+func (c *Connector) Extend(ctx context.Context, kind jaygw.TaskKind, leaseEnd time.Time) error {
+	instance, at := c.clock()
+	if instance == "" {
+		return ErrNoClock
+	}
+	_, err := call[struct{}](ctx, c, "/extend", ExtendRequest{Instance: instance, Kind: kind, LeaseEnd: at.convert(leaseEnd)})
 	return err
 }
 
+func (c *Connector) clock() (string, reading) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instance, c.reading
+}
+
+// convert returns the worker's clock at a time of the agent.
+func (r reading) convert(t time.Time) Clock { return r.worker + Clock(t.Sub(r.agent)) }
+
 // Checkpoint makes an attempt write a checkpoint.
 func (c *Connector) Checkpoint(ctx context.Context, id jaygw.Attempt) (jaygw.Checkpoint, error) {
 	return call[jaygw.Checkpoint](ctx, c, "/checkpoint", id)
@@ -106,8 +154,18 @@
 }
 
 // List returns the worker's attempts.
-func (c *Connector) List(ctx context.Context) ([]jaygw.WorkerTask, error) {
-	return call[[]jaygw.WorkerTask](ctx, c, "/list", struct{}{})
+func (c *Connector) List(ctx context.Context) (jaygw.WorkerList, error) {
+	list, err := call[jaygw.WorkerList](ctx, c, "/list", struct{}{})
+	if err != nil {
+		return list, err
+	}
+	if list.Instance == "" {
+		return list, eris.New("the worker's list does not name its instance")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instance = list.Instance
+	return list, nil
 }
 
 // Forget drops an ended attempt.
@@ -141,6 +199,21 @@
 		detail, _ := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes))
 		return result, &StatusError{Status: response.StatusCode, Detail: strings.TrimSpace(string(detail))}
 	}
+	if err := c.read(response.Header.Get(ClockHeader)); err != nil {
+		return result, err
+	}
 	err = json.NewDecoder(io.LimitReader(response.Body, maxResultBytes)).Decode(&result)
 	return result, eris.Wrapf(err, "read the worker's response to %s", path)
 }
+
+// read takes the worker's clock from a response that has just arrived.
+func (c *Connector) read(header string) error {
+	value, err := strconv.ParseInt(header, 10, 64)
+	if err != nil {
+		return eris.Errorf("the worker's response has no clock: %s is %q", ClockHeader, header)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading{worker: Clock(value), agent: time.Now()}
+	return nil
+}
--- a/internal/platform/emulator/emulator.go
+++ b/internal/platform/emulator/emulator.go
@@ -3,11 +3,12 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,12 +18,14 @@
 type (
 	// Worker is a stand-in worker. Tasks are timers; nothing is computed.
 	Worker struct {
-		now  func() time.Time
-		size jaygw.Resources
+		now      func() time.Time
+		size     jaygw.Resources
+		instance string
+		born     time.Time // zero of the clock that the HTTP interface shows
 
 		mu      sync.Mutex
 		tasks   map[jaygw.Attempt]*task
-		fences  map[jaygw.TaskID]jaygw.Epoch // stopped epochs never start again
+		fences  map[jaygw.TaskID]jaygw.Epoch // ended epochs never start again
 		history []Run
 		failing bool
 	}
@@ -43,6 +46,7 @@
 	Run struct {
 		Attempt  jaygw.Attempt
 		Kind     jaygw.TaskKind
+		Size     jaygw.Resources
 		From     time.Duration // progress that it started from
 		Start    time.Time
 		End      time.Time // zero while it runs
@@ -58,10 +62,15 @@
 var (
 	_ jaygw.Worker = (*Worker)(nil)
 
-	// ErrFenced is returned for the start of an attempt that was stopped before.
-	ErrFenced = errors.New("the attempt was stopped before it started")
+	// ErrFenced is returned for the start of an attempt that has ended or was
+	// stopped before.
+	ErrFenced = errors.New("the attempt may no longer start")
+	// ErrLate is returned for a start after its window.
+	ErrLate = errors.New("the start arrived after its window")
 	// ErrNotRunning is returned for attempts that do not run.
 	ErrNotRunning = errors.New("the attempt does not run")
+	// ErrInstance is returned for calls that mean another life of the VM.
+	ErrInstance = errors.New("the call is for another instance of the VM")
 	// ErrBroken is returned by a worker that fails everything.
 	ErrBroken = errors.New("the worker cannot start tasks")
 )
@@ -71,17 +80,24 @@
 	return func(w *Worker) { w.now = now }
 }
 
+// WithInstance names the life of the VM.
+func WithInstance(instance string) Option {
+	return func(w *Worker) { w.instance = instance }
+}
+
 // New returns a worker of a VM with this size.
 func New(size jaygw.Resources, options ...Option) *Worker {
 	w := &Worker{
-		now:    time.Now,
-		size:   size,
-		tasks:  map[jaygw.Attempt]*task{},
-		fences: map[jaygw.TaskID]jaygw.Epoch{},
+		now:      time.Now,
+		size:     size,
+		instance: fmt.Sprintf("%016x", rand.Uint64()),
+		tasks:    map[jaygw.Attempt]*task{},
+		fences:   map[jaygw.TaskID]jaygw.Epoch{},
 	}
 	for _, option := range options {
 		option(w)
 	}
+	w.born = w.now()
 	return w
 }
 
@@ -101,7 +117,7 @@
 }
 
 // Start runs an attempt.
-func (w *Worker) Start(_ context.Context, permit jaygw.Permit, lease time.Duration) error {
+func (w *Worker) Start(_ context.Context, permit jaygw.Permit, window jaygw.StartWindow) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
@@ -109,28 +125,32 @@
 		return ErrBroken
 	}
 	id := permit.Attempt
-	if epoch, fenced := w.fences[id.Task]; fenced && id.Epoch <= epoch {
-		return ErrFenced
-	}
-	if _, known := w.tasks[id]; known {
+	if t, known := w.tasks[id]; known && t.state == jaygw.WorkerRunning {
 		return nil
 	}
+	if id.Epoch <= w.fences[id.Task] {
+		return ErrFenced
+	}
 	now := w.now()
+	if !now.Before(window.By) || !now.Before(window.LeaseEnd) {
+		return ErrLate
+	}
 	w.tasks[id] = &task{
 		permit: permit, started: now, throttled: now, base: permit.Checkpoint.Progress.Std(),
-		percent: fullSpeed, leaseEnd: now.Add(lease), state: jaygw.WorkerRunning,
+		percent: fullSpeed, leaseEnd: window.LeaseEnd, state: jaygw.WorkerRunning,
 		checkpoint: permit.Checkpoint, run: len(w.history),
 	}
-	w.history = append(w.history, Run{Attempt: id, Kind: permit.Kind, From: permit.Checkpoint.Progress.Std(), Start: now})
+	w.history = append(w.history, Run{
+		Attempt: id, Kind: permit.Kind, Size: permit.Size, From: permit.Checkpoint.Progress.Std(), Start: now,
+	})
 	return nil
 }
 
-// Extend renews the leases of a kind.
-func (w *Worker) Extend(_ context.Context, kind jaygw.TaskKind, lease time.Duration) error {
+// Extend moves the lease end of the attempts of a kind.
+func (w *Worker) Extend(_ context.Context, kind jaygw.TaskKind, end time.Time) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	end := w.now().Add(lease)
 	for _, t := range w.tasks {
 		if t.state == jaygw.WorkerRunning && t.permit.Kind == kind && end.After(t.leaseEnd) {
 			t.leaseEnd = end
@@ -186,20 +206,20 @@
 }
 
 // List returns the attempts, in the order of their tasks.
-func (w *Worker) List(context.Context) ([]jaygw.WorkerTask, error) {
+func (w *Worker) List(context.Context) (jaygw.WorkerList, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	var list []jaygw.WorkerTask
+	list := []jaygw.WorkerTask{}
 	for id, t := range w.tasks {
 		list = append(list, jaygw.WorkerTask{
 			Attempt: id, Kind: t.permit.Kind, Service: t.permit.Service, State: t.state, Checkpoint: t.checkpoint,
 		})
 	}
 	slices.SortFunc(list, func(a, b jaygw.WorkerTask) int {
-		return strings.Compare(fmt.Sprint(a.Attempt), fmt.Sprint(b.Attempt))
+		return cmp.Or(cmp.Compare(a.Attempt.Task, b.Attempt.Task), cmp.Compare(a.Attempt.Epoch, b.Attempt.Epoch))
 	})
-	return list, nil
+	return jaygw.WorkerList{Instance: w.instance, Tasks: list}, nil
 }
 
 // Forget drops an ended attempt.
@@ -262,6 +282,8 @@
 
 func (w *Worker) end(t *task, state jaygw.WorkerTaskState, at time.Time) {
 	t.state = state
+	id := t.permit.Attempt
+	w.fences[id.Task] = max(w.fences[id.Task], id.Epoch)
 	w.history[t.run].End = at
 	w.history[t.run].Complete = state == jaygw.WorkerCompleted
 }
--- a/internal/platform/emulator/handler.go
+++ b/internal/platform/emulator/handler.go
@@ -16,28 +16,34 @@
 func (w *Worker) Handler() http.Handler {
 	router := mux.NewRouter()
 	tasks := router.PathPrefix(connector.Prefix).Subrouter()
-	tasks.HandleFunc("/start", handle(func(r *http.Request, q connector.StartRequest) (struct{}, error) {
-		return struct{}{}, w.Start(r.Context(), q.Permit, q.Lease.Std())
+	tasks.HandleFunc("/start", handle(w, func(r *http.Request, q connector.StartRequest) (struct{}, error) {
+		if q.Instance != w.instance {
+			return struct{}{}, ErrInstance
+		}
+		return struct{}{}, w.Start(r.Context(), q.Permit, jaygw.StartWindow{By: w.at(q.By), LeaseEnd: w.at(q.LeaseEnd)})
 	}))
-	tasks.HandleFunc("/extend", handle(func(r *http.Request, q connector.ExtendRequest) (struct{}, error) {
-		return struct{}{}, w.Extend(r.Context(), q.Kind, q.Lease.Std())
+	tasks.HandleFunc("/extend", handle(w, func(r *http.Request, q connector.ExtendRequest) (struct{}, error) {
+		if q.Instance != w.instance {
+			return struct{}{}, ErrInstance
+		}
+		return struct{}{}, w.Extend(r.Context(), q.Kind, w.at(q.LeaseEnd))
 	}))
-	tasks.HandleFunc("/checkpoint", handle(func(r *http.Request, id jaygw.Attempt) (jaygw.Checkpoint, error) {
+	tasks.HandleFunc("/checkpoint", handle(w, func(r *http.Request, id jaygw.Attempt) (jaygw.Checkpoint, error) {
 		return w.Checkpoint(r.Context(), id)
 	}))
-	tasks.HandleFunc("/throttle", handle(func(r *http.Request, q connector.ThrottleRequest) (struct{}, error) {
+	tasks.HandleFunc("/throttle", handle(w, func(r *http.Request, q connector.ThrottleRequest) (struct{}, error) {
 		return struct{}{}, w.Throttle(r.Context(), q.Attempt, q.Percent)
 	}))
-	tasks.HandleFunc("/stop", handle(func(r *http.Request, id jaygw.Attempt) (jaygw.Checkpoint, error) {
+	tasks.HandleFunc("/stop", handle(w, func(r *http.Request, id jaygw.Attempt) (jaygw.Checkpoint, error) {
 		return w.Stop(r.Context(), id)
 	}))
-	tasks.HandleFunc("/list", handle(func(r *http.Request, _ struct{}) ([]jaygw.WorkerTask, error) {
+	tasks.HandleFunc("/list", handle(w, func(r *http.Request, _ struct{}) (jaygw.WorkerList, error) {
 		return w.List(r.Context())
 	}))
-	tasks.HandleFunc("/forget", handle(func(r *http.Request, id jaygw.Attempt) (struct{}, error) {
+	tasks.HandleFunc("/forget", handle(w, func(r *http.Request, id jaygw.Attempt) (struct{}, error) {
 		return struct{}{}, w.Forget(r.Context(), id)
 	}))
-	tasks.HandleFunc("/usage", handle(func(r *http.Request, _ struct{}) ([]jaygw.Usage, error) {
+	tasks.HandleFunc("/usage", handle(w, func(r *http.Request, _ struct{}) ([]jaygw.Usage, error) {
 		return w.Usage(r.Context())
 	}))
 	router.HandleFunc("/health", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusNoContent) })
@@ -45,6 +51,9 @@
 	return router
 }
 
+// at returns the time of a reading of the clock that the interface shows.
+func (w *Worker) at(reading connector.Clock) time.Time { return w.born.Add(time.Duration(reading)) }
+
 // serve answers a request of a service after the time that the query value
 // "work" asks for, with the request's body as the response.
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
@@ -71,8 +80,9 @@
 	_, _ = rw.Write(body)
 }
 
-func handle[Q, A any](call func(*http.Request, Q) (A, error)) http.HandlerFunc {
+func handle[Q, A any](w *Worker, call func(*http.Request, Q) (A, error)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(connector.ClockHeader, fmt.Sprint(w.now().Sub(w.born).Nanoseconds()))
 		var question Q
 		if err := json.NewDecoder(r.Body).Decode(&question); err != nil {
 			http.Error(rw, err.Error(), http.StatusBadRequest)
--- a/internal/schedule/dispatcher/dispatcher.go
+++ b/internal/schedule/dispatcher/dispatcher.go
@@ -9,8 +9,6 @@
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
-	"github.com/jaygw/jaygw/internal/schedule/lessor"
-	"github.com/jaygw/jaygw/internal/schedule/scheduler"
 	"github.com/sirupsen/logrus"
 )
 
@@ -27,15 +25,9 @@
 		replica Replica
 		log     logrus.FieldLogger
 		wake    chan struct{}
-		notes   *notes
-
-		mu        sync.Mutex
-		leads     bool
-		term      uint64
-		lessor    *lessor.Lessor
-		scheduler *scheduler.Scheduler
-		expiring  map[string]chan struct{} // closed once the expiry is applied
-		silent    map[string]bool
+
+		mu sync.Mutex // guards the decider, but for its notes
+		*decider
 	}
 
 	// Option changes a new Dispatcher.
@@ -44,6 +36,10 @@
 
 const (
 	tick = 50 * time.Millisecond
+
+	// proposeTimeout bounds a proposal, so that a lost quorum does not stop the
+	// loop. The outcome is then unknown.
+	proposeTimeout = 2 * time.Second
 )
 
 // WithLogger sets the logger.
@@ -54,16 +50,13 @@
 // New returns a dispatcher that does not lead yet.
 func New(options ...Option) *Dispatcher {
 	d := &Dispatcher{
-		log:      logrus.StandardLogger(),
-		wake:     make(chan struct{}, 1),
-		expiring: map[string]chan struct{}{},
-		silent:   map[string]bool{},
-		notes:    newNotes(),
+		log:     logrus.StandardLogger(),
+		wake:    make(chan struct{}, 1),
+		decider: newDecider(),
 	}
 	for _, option := range options {
 		option(d)
 	}
-	d.scheduler = scheduler.New(scheduler.WithHealth(func(vm string) bool { return !d.silent[vm] }))
 	return d
 }
 
@@ -74,14 +67,10 @@
 func (d *Dispatcher) Lead(term uint64, leads bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leads = leads
-	d.term = term
-	d.silent = map[string]bool{}
+	d.lead(term, leads, now)
 	if leads {
-		d.lessor = lessor.New(now)
 		d.log.Infof("scheduler: leading control group in term %d", term)
 	}
-	d.notes.all()
 }
 
 // Run decides until the context ends.
@@ -99,57 +88,39 @@
 	}
 }
 
+// step proposes what is to be decided. Expiries are proposed at the same time, so
+// that those of a lost domain share a sync; the rest in order.
 func (d *Dispatcher) step(ctx context.Context, now time.Time) {
 	var commands []jaygw.Command
 	d.mu.Lock()
-	if !d.leads {
-		d.mu.Unlock()
-		return
+	if d.leads {
+		d.replica.Read(func(machine *applier.Machine) { commands = d.decide(machine, now) })
 	}
-	d.replica.Read(func(machine *applier.Machine) {
-		d.updateLiveness(machine.State(), now)
-		for _, expire := range d.lessor.Expired(machine.State().VMs, now) {
-			if len(machine.TasksOn(expire.Name)) == 0 {
-				continue
-			}
-			d.expiring[expire.Name] = make(chan struct{})
-			commands = append(commands, jaygw.Command{ExpireVM: &expire})
-		}
-		commands = append(commands, d.scheduler.Decide(machine, max(machine.State().Time, jaygw.TimeOf(now)))...)
-	})
 	d.mu.Unlock()
+	var expiries sync.WaitGroup
 	for _, command := range commands {
-		if _, err := d.replica.Propose(ctx, command); err != nil {
-			d.log.Warnf("scheduler: a decision was not committed: %v", err)
-		}
 		if command.ExpireVM != nil {
-			d.expired(command.ExpireVM.Name)
+			expiries.Go(func() { d.propose(ctx, command) })
 		}
 	}
-}
-
-func (d *Dispatcher) expired(vm string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if done, ok := d.expiring[vm]; ok {
-		close(done)
-		delete(d.expiring, vm)
+	expiries.Wait()
+	for _, command := range commands {
+		if command.ExpireVM == nil {
+			d.propose(ctx, command)
+		}
 	}
 }
 
-// updateLiveness notes which VMs have fallen silent or returned.
-func (d *Dispatcher) updateLiveness(state *applier.State, now time.Time) {
-	changed := false
-	for name := range state.VMs {
-		silent := d.lessor.Silent(name, now)
-		if silent != d.silent[name] {
-			d.silent[name] = silent
-			changed = true
-		}
-	}
-	if changed {
-		d.notes.view()
+func (d *Dispatcher) propose(ctx context.Context, command jaygw.Command) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err := d.replica.Propose(ctx, command)
+	if err != nil {
+		d.log.Warnf("scheduler: a decision was not committed: %v", err)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settled(command, err)
 }
 
 func (d *Dispatcher) wakeUp() {
--- a/internal/schedule/dispatcher/notes.go
+++ b/internal/schedule/dispatcher/notes.go
@@ -7,6 +7,7 @@
 	// the present one.
 	notes struct {
 		mu       sync.Mutex
+		first    uint64 // revision of a new note
 		vms      map[string]*note
 		viewNote note
 	}
@@ -17,12 +18,13 @@
 	}
 )
 
+// termBits leaves room for the changes of one term in a revision.
+const termBits = 32
+
 func newNotes() *notes {
-	return &notes{vms: map[string]*note{}, viewNote: newNote()}
+	return &notes{first: 1, vms: map[string]*note{}, viewNote: note{revision: 1, changed: make(chan struct{})}}
 }
 
-func newNote() note { return note{revision: 1, changed: make(chan struct{})} }
-
 func (n *notes) vm(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -44,6 +46,30 @@
 	}
 }
 
+// restart wakes all waiters and begins the revisions of a term. An agent that has
+// a revision of another leader must not find an equal one here: its renewal would
+// be held although something has changed.
+func (n *notes) restart(term uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.first = max(n.first, term<<termBits+1)
+	n.viewNote.mark()
+	for _, entry := range n.vms {
+		entry.revision = max(entry.revision, n.first)
+		entry.mark()
+	}
+}
+
+// drop forgets a VM that was removed.
+func (n *notes) drop(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if entry, ok := n.vms[name]; ok {
+		entry.mark()
+		delete(n.vms, name)
+	}
+}
+
 // ofVM returns the revision of a VM's assignments and a channel that is closed
 // at the next change.
 func (n *notes) ofVM(name string) (uint64, <-chan struct{}) {
@@ -64,8 +90,7 @@
 func (n *notes) entry(name string) *note {
 	entry, ok := n.vms[name]
 	if !ok {
-		created := newNote()
-		entry = &created
+		entry = &note{revision: n.first, changed: make(chan struct{})}
 		n.vms[name] = entry
 	}
 	return entry
--- a/internal/schedule/dispatcher/observe.go
+++ b/internal/schedule/dispatcher/observe.go
@@ -33,6 +33,9 @@
 		w.d.notes.view()
 		w.d.wakeUp()
 	}
+	if after == nil {
+		w.d.notes.drop(before.Name)
+	}
 }
 
 // DomainChanged notes that the view has changed.
--- a/internal/schedule/dispatcher/renew.go
+++ b/internal/schedule/dispatcher/renew.go
@@ -2,99 +2,80 @@
 
 import (
 	"context"
-	"slices"
+	"errors"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
-	"github.com/jaygw/jaygw/internal/schedule/lessor"
 	"github.com/rotisserie/eris"
 )
 
-const (
-	failureBackoff    = 500 * time.Millisecond
-	maxFailureBackoff = 30 * time.Second
-)
-
 // Renew answers a renewal. It commits the reports in it, holds the response until
 // there is something new for the VM, and confirms the leadership with a quorum
 // before it answers.
 func (d *Dispatcher) Renew(ctx context.Context, r jaygw.Renewal) (jaygw.RenewalResult, error) {
-	if err := d.heard(ctx, r); err != nil {
+	arrived := time.Now()
+	if err := d.announce(ctx, r); err != nil {
 		return jaygw.RenewalResult{}, err
 	}
-	if r.Announce != nil {
-		if err := d.announce(ctx, *r.Announce); err != nil {
-			return jaygw.RenewalResult{}, err
-		}
-	}
-	acknowledged, err := d.report(ctx, r)
+	acknowledged, err := d.commit(ctx, r, arrived)
 	if err != nil {
 		return jaygw.RenewalResult{}, err
 	}
 	d.hold(ctx, r)
-	return d.answer(ctx, r, acknowledged)
+	for {
+		result, err := d.confirmedAnswer(ctx, r, acknowledged, arrived)
+		if !errors.Is(err, errExpiring) {
+			return result, err
+		}
+		if err := d.waitForExpiry(ctx, r.VM); err != nil {
+			return result, err
+		}
+	}
 }
 
-func (d *Dispatcher) heard(ctx context.Context, r jaygw.Renewal) error {
+// read calls a function with the state machine while the decider is locked.
+func (d *Dispatcher) read(f func(*applier.Machine)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.leads {
-		return jaygw.ErrNotLeader
-	}
-	d.lessor.Heard(r.VM, r.Incarnation, time.Now())
-	return ctx.Err()
+	d.replica.Read(f)
 }
 
-func (d *Dispatcher) announce(ctx context.Context, vm jaygw.VM) error {
-	var known *jaygw.VM
-	d.replica.Read(func(machine *applier.Machine) { known = machine.State().VMs[vm.Name] })
-	if known != nil && sameAnnouncement(*known, vm) {
-		return nil
+func (d *Dispatcher) announce(ctx context.Context, r jaygw.Renewal) error {
+	var command *jaygw.Command
+	var err error
+	d.read(func(machine *applier.Machine) { command, err = d.announcement(r, machine) })
+	if command == nil || err != nil {
+		return err
 	}
-	result, err := d.replica.Propose(ctx, jaygw.Command{AnnounceVM: &jaygw.AnnounceVM{VM: vm}})
+	result, err := d.replica.Propose(ctx, *command)
 	if err != nil {
 		return err
 	}
 	return result.Err()
 }
 
-func sameAnnouncement(known, vm jaygw.VM) bool {
-	return known.Incarnation == vm.Incarnation && known.Leaving == vm.Leaving && known.Size == vm.Size &&
-		known.Address == vm.Address && slices.Equal(known.Services, vm.Services)
-}
-
-// report commits the renewal's reports and returns the highest sequence that is
-// committed. A report of an attempt that is over is acknowledged as well: it will
-// never count.
-func (d *Dispatcher) report(ctx context.Context, r jaygw.Renewal) (uint64, error) {
-	if len(r.Reports) == 0 {
-		return 0, nil
-	}
-	batch := &jaygw.ReportTasks{VM: r.VM, Incarnation: r.Incarnation}
-	acknowledged := uint64(0)
-	d.replica.Read(func(machine *applier.Machine) {
-		state := machine.State()
-		for _, sequenced := range r.Reports {
-			report := sequenced.Report
-			if task := state.Tasks[report.Attempt.Task]; report.Kind == jaygw.AttemptFailed && task != nil {
-				report.NotBefore = state.Time.Add(backoff(task.Failures))
-			}
-			batch.Reports = append(batch.Reports, report)
-			acknowledged = max(acknowledged, sequenced.Sequence)
+// commit commits the renewal's reports and returns the highest sequence among
+// them.
+func (d *Dispatcher) commit(ctx context.Context, r jaygw.Renewal, now time.Time) (uint64, error) {
+	var command *jaygw.Command
+	var acknowledged uint64
+	var err error
+	d.read(func(machine *applier.Machine) {
+		if err = d.arrived(r, machine, now); err == nil {
+			command, acknowledged = d.reports(r, machine)
 		}
 	})
-	result, err := d.replica.Propose(ctx, jaygw.Command{Report: batch})
+	if command == nil || err != nil {
+		return acknowledged, err
+	}
+	result, err := d.replica.Propose(ctx, *command)
 	if err != nil {
 		return 0, err
 	}
 	return acknowledged, result.Err()
 }
 
-func backoff(failures int) time.Duration {
-	return min(failureBackoff<<min(failures, 10), maxFailureBackoff)
-}
-
 // hold waits until the VM's assignments have changed since the last response, or
 // the time that the agent allows is over.
 func (d *Dispatcher) hold(ctx context.Context, r jaygw.Renewal) {
@@ -118,94 +99,29 @@
 	}
 }
 
-// answer builds the response from a state that a quorum has confirmed after the
-// renewal arrived.
-func (d *Dispatcher) answer(ctx context.Context, r jaygw.Renewal, acknowledged uint64) (jaygw.RenewalResult, error) {
+func (d *Dispatcher) confirmedAnswer(
+	ctx context.Context, r jaygw.Renewal, acknowledged uint64, arrived time.Time,
+) (result jaygw.RenewalResult, err error) {
 	if _, err := d.replica.Confirm(ctx); err != nil {
-		return jaygw.RenewalResult{}, err
-	}
-	if err := d.waitForExpiry(ctx, r.VM); err != nil {
-		return jaygw.RenewalResult{}, err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.leads {
-		return jaygw.RenewalResult{}, jaygw.ErrNotLeader
-	}
-	if _, busy := d.expiring[r.VM]; busy {
-		return jaygw.RenewalResult{}, jaygw.ErrNotCurrent
+		return result, err
 	}
-	terms := lessor.DefaultTerms()
-	result := jaygw.RenewalResult{
-		Incarnation: r.Incarnation, Sequence: r.Sequence, Acknowledged: acknowledged,
-		BatchLease: terms.Batch, ServiceLease: terms.Service,
-	}
-	var failure error
-	result.Revision, _ = d.notes.ofVM(r.VM)
-	d.replica.Read(func(machine *applier.Machine) { failure = fill(&result, machine, r) })
-	if failure == nil {
-		d.lessor.Granted(r.VM, r.Incarnation, time.Now(), terms)
-	}
-	return result, failure
+	d.read(func(machine *applier.Machine) {
+		result, err = d.answer(r, acknowledged, arrived, machine, time.Now())
+	})
+	return result, err
 }
 
 func (d *Dispatcher) waitForExpiry(ctx context.Context, vm string) error {
 	d.mu.Lock()
-	done, busy := d.expiring[vm]
+	e, busy := d.expiring[vm]
 	d.mu.Unlock()
 	if !busy {
 		return nil
 	}
 	select {
-	case <-done:
+	case <-e.done:
 		return nil
 	case <-ctx.Done():
 		return eris.Wrap(ctx.Err(), "wait for the end of the old lease")
 	}
 }
-
-// fill adds the permits and orders that the state calls for.
-func fill(result *jaygw.RenewalResult, machine *applier.Machine, r jaygw.Renewal) error {
-	state := machine.State()
-	vm, ok := state.VMs[r.VM]
-	if !ok || vm.Incarnation != r.Incarnation {
-		return jaygw.ErrNotCurrent // the agent announces itself again
-	}
-	result.Index = state.Index
-	result.DomainOut = state.Domains[vm.Domain].Out
-	inForce := map[jaygw.Attempt]bool{}
-	for _, id := range machine.TasksOn(r.VM) {
-		task := state.Tasks[id]
-		attempt := task.Attempt()
-		inForce[attempt] = true
-		known := slices.Contains(r.Known, attempt)
-		switch {
-		case task.State == jaygw.Stopping:
-			result.Orders = append(result.Orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionStop})
-		case known:
-		case task.State == jaygw.Granted && task.Incarnation == r.Incarnation && !result.DomainOut:
-			result.Permits = append(result.Permits, permit(task))
-		default:
-			// The worker does not have an attempt that should run there.
-			result.Orders = append(result.Orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionKill})
-		}
-	}
-	for _, attempt := range r.Known {
-		if !inForce[attempt] {
-			result.Orders = append(result.Orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionKill})
-		}
-	}
-	return nil
-}
-
-func permit(task *jaygw.Task) jaygw.Permit {
-	p := jaygw.Permit{
-		Attempt: task.Attempt(), Kind: task.Kind, Class: task.Class, Size: task.Reserved,
-		RunTime: task.RunTime, Payload: task.Payload, Checkpoint: task.Checkpoint,
-		Valid: jaygw.PermitValidity,
-	}
-	if task.Kind == jaygw.ServiceTask {
-		p.Service = task.Owner
-	}
-	return p
-}
--- a/internal/schedule/lessor/lessor.go
+++ b/internal/schedule/lessor/lessor.go
@@ -3,7 +3,6 @@
 package lessor
 
 import (
-	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -18,12 +17,9 @@
 	}
 
 	lease struct {
-		incarnation jaygw.Incarnation
-		heard       time.Time
-		batchEnd    time.Time
-		serviceEnd  time.Time
-		batchOver   bool
-		serviceOver bool
+		heard      time.Time
+		batchEnd   time.Time
+		serviceEnd time.Time
 	}
 
 	// Terms are the lengths of the leases that a response grants.
@@ -45,69 +41,44 @@
 }
 
 // Heard records that a renewal arrived.
-func (l *Lessor) Heard(vm string, incarnation jaygw.Incarnation, now time.Time) {
-	entry := l.entry(vm)
-	entry.incarnation = incarnation
-	entry.heard = now
-}
+func (l *Lessor) Heard(vm string, now time.Time) { l.entry(vm).heard = now }
 
 // Granted records that a response with these terms is sent at now. The agent
 // counts from when it sent the request, which was earlier, so its lease ends
 // before the time kept here.
-func (l *Lessor) Granted(vm string, incarnation jaygw.Incarnation, now time.Time, terms Terms) {
+func (l *Lessor) Granted(vm string, now time.Time, terms Terms) {
 	entry := l.entry(vm)
-	entry.incarnation = incarnation
-	entry.batchEnd = now.Add(withMargin(terms.Batch))
-	entry.serviceEnd = now.Add(withMargin(terms.Service))
-	entry.batchOver = false
-	entry.serviceOver = false
+	entry.batchEnd = later(entry.batchEnd, now.Add(withMargin(terms.Batch)))
+	entry.serviceEnd = later(entry.serviceEnd, now.Add(withMargin(terms.Service)))
 }
 
-// Silent reports whether a VM has not been heard of for longer than the limit. A
-// new leader counts from the start of its leadership.
-func (l *Lessor) Silent(vm string, now time.Time) bool {
-	heard := l.since
+// Silence returns the time since a VM was last heard of. A new leader counts
+// from the start of its leadership.
+func (l *Lessor) Silence(vm string, now time.Time) time.Duration {
 	if entry, ok := l.leases[vm]; ok {
-		heard = entry.heard
+		return now.Sub(entry.heard)
 	}
-	return now.Sub(heard) > jaygw.SilenceLimit
+	return now.Sub(l.since)
 }
 
-// Expired returns the leases that have ended since the last call, as commands
-// that end the attempts under them.
-func (l *Lessor) Expired(vms map[string]*jaygw.VM, now time.Time) []jaygw.ExpireVM {
-	var expired []jaygw.ExpireVM
-	for name, vm := range vms {
-		entry := l.entry(name)
-		var kinds []jaygw.TaskKind
-		if !entry.batchOver && now.After(entry.batchEnd) {
-			entry.batchOver = true
-			kinds = append(kinds, jaygw.BatchTask)
-		}
-		if !entry.serviceOver && now.After(entry.serviceEnd) {
-			entry.serviceOver = true
-			kinds = append(kinds, jaygw.ServiceTask)
-		}
-		if len(kinds) > 0 {
-			expired = append(expired, jaygw.ExpireVM{Name: name, Incarnation: vm.Incarnation, Kinds: kinds})
-		}
-	}
-	slices.SortFunc(expired, func(a, b jaygw.ExpireVM) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return expired
+// Silent reports whether a VM has not been heard of for longer than the limit.
+func (l *Lessor) Silent(vm string, now time.Time) bool {
+	return l.Silence(vm, now) > jaygw.SilenceLimit
 }
 
-// Over reports whether every lease of the VM has ended, so that nothing can be
-// running on it.
-func (l *Lessor) Over(vm string) bool {
-	entry, ok := l.leases[vm]
-	return ok && entry.batchOver && entry.serviceOver
+// Over reports whether the lease of a VM's tasks of a kind has ended, so that
+// none of them can be running.
+func (l *Lessor) Over(vm string, kind jaygw.TaskKind, now time.Time) bool {
+	entry := l.entry(vm)
+	if kind == jaygw.ServiceTask {
+		return now.After(entry.serviceEnd)
+	}
+	return now.After(entry.batchEnd)
 }
 
+// Drop forgets a VM that was removed.
+func (l *Lessor) Drop(vm string) { delete(l.leases, vm) }
+
 func (l *Lessor) entry(vm string) *lease {
 	entry, ok := l.leases[vm]
 	if !ok {
@@ -124,3 +95,10 @@
 func withMargin(d time.Duration) time.Duration {
 	return d + d*jaygw.ClockRateMargin/100
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/task.go
+++ b/task.go
@@ -92,15 +92,15 @@
 
 	// Permit lets an agent start one attempt within a short time.
 	Permit struct {
-		Attempt    Attempt
-		Kind       TaskKind
-		Class      Class
-		Service    string
-		Size       Resources
-		RunTime    Duration
-		Payload    string
-		Checkpoint Checkpoint
-		Valid      time.Duration // from the agent's request
+		Attempt    Attempt       `json:"attempt"`
+		Kind       TaskKind      `json:"kind"`
+		Class      Class         `json:"class"`
+		Service    string        `json:"service,omitempty"`
+		Size       Resources     `json:"size"`
+		RunTime    Duration      `json:"run-time,omitempty"`
+		Payload    string        `json:"payload,omitempty"`
+		Checkpoint Checkpoint    `json:"checkpoint"`
+		Valid      time.Duration `json:"-"` // from the agent's request
 	}
 )
 
--- a/world.go
+++ b/world.go
@@ -1,10 +1,14 @@
 package jaygw
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 type (
-	// Incarnation identifies one life of an agent process. A restarted agent
-	// draws a new one.
+	// Incarnation identifies one life of an agent process. The upper half is
+	// derived from the VM's instance, the lower half is drawn at random when the
+	// process starts.
 	Incarnation uint64
 
 	// VM is a worker VM that an agent has announced.
@@ -84,6 +88,19 @@
 	}
 )
 
+const processBits = 32
+
+// NewIncarnation returns the incarnation of an agent process on a VM's instance.
+func NewIncarnation(instance string, process uint32) Incarnation {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(instance))
+	return Incarnation(h.Sum32())<<processBits | Incarnation(process)
+}
+
+// SameInstance reports whether both processes run on the same instance of a VM,
+// so that the one knows what the worker beside the other runs.
+func (i Incarnation) SameInstance(o Incarnation) bool { return i>>processBits == o>>processBits }
+
 // Idempotent reports whether the contract lets a request with this method be
 // sent more than once.
 func (c Contract) Idempotent(method string) bool {
