--- a/internal/load/surveyor/survey.go
+++ b/internal/load/surveyor/survey.go
@@ -202,8 +202,8 @@
 		tasks = append(tasks, jaygw.WorkerTask{Attempt: attempt, Kind: jaygw.BatchTask, State: jaygw.WorkerRunning})
 	}
 	e := executor.New(jaygw.DefaultGroup, vm, 1)
-	e.Adopt(tasks)
 	now := time.Now()
+	e.Listed(tasks, now, now)
 	cpu := cpuTime()
 	for range agentRounds {
 		request := converter.RenewRequest(e.Renew(now, known.Usage, 0))
