--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -34,7 +36,12 @@
 // startAgent starts the agent beside an upstream.
 func (p *Process) startAgent(ctx context.Context) error {
 	worker := p.settings.Worker
-	incarnation := jaygw.Incarnation(rand.Uint64())
+	platform := connector.New(worker.Address)
+	instance, err := announcer.Instance(ctx, platform, p.log)
+	if err != nil {
+		return err
+	}
+	incarnation := jaygw.NewIncarnation(instance, rand.Uint32())
 	admission := limiter.New(worker.Slots, orDefault(p.settings.Limits.QueueLength, defaultQueueLength))
 	requests := server.New(worker.Address, incarnation, admission, server.WithConnections(orDefault(worker.Connections, defaultConnections)))
 	if err := messenger.DRPCRegisterUpstream(p.mux, requests); err != nil {
@@ -47,27 +54,33 @@
 	}
 	session := announcer.New(
 		client.New(p.settings.Group, p.settings.Peers, p.dialer),
-		connector.New(worker.Address),
+		platform, instance,
 		executor.New(p.settings.Group, vm, incarnation),
 		announcer.WithLogger(p.log))
+	// The session outlives the end of the context until the VM has left.
 	p.group.Go(func() error { return session.Run(p.work) })
 	p.group.Go(func() error {
 		<-ctx.Done()
 		defer p.stopWork()
 		return p.leave(context.WithoutCancel(ctx), session, requests)
 	})
+	if p.listeners.Operators != nil {
+		p.serveHTTP(ctx, p.listeners.Operators, http.NotFoundHandler(), func() {})
+	}
 	return nil
 }
 
-// leave announces that the upstream is leaving, waits until the entries know, and
-// finishes what is in flight.
+// leave announces that the upstream is leaving, waits until the entries know and
+// the tasks have moved, and finishes what is in flight.
 func (p *Process) leave(ctx context.Context, session *announcer.Announcer, requests *server.Server) error {
 	defer requests.Close()
-	requests.Leave()
-	session.Leave()
-	time.Sleep(orDefault(p.settings.Limits.BalancerWait.Std(), defaultLeaveWait))
 	ctx, cancel := context.WithTimeout(ctx, orDefault(p.settings.Limits.DrainTimeout.Std(), defaultDrain))
 	defer cancel()
+	requests.Leave()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { session.Leave(ctx) })
+	defer tasks.Wait()
+	time.Sleep(orDefault(p.settings.Limits.BalancerWait.Std(), defaultLeaveWait))
 	if err := requests.Drain(ctx); err != nil {
 		return eris.Wrap(err, "finish the requests in flight")
 	}
--- a/internal/daemon/launcher/entry.go
+++ b/internal/daemon/launcher/entry.go
@@ -44,6 +44,7 @@
 	keys := claimer.New(group, p.log)
 	edge := forwarder.New(p.settings.Name, strconv.FormatUint(rand.Uint64(), 36), routes, p.dialer, p.log,
 		forwarder.WithClaimer(keys),
+		forwarder.WithRegistry(p.registry),
 		forwarder.WithLimits(forwarder.Limits{
 			Requests: p.settings.Limits.Requests, Body: int64(p.settings.Limits.BodyBytes),
 		}))
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/meter"
 	"github.com/jaygw/jaygw/internal/observe/recorder"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -24,6 +26,7 @@
 		listeners Listeners
 		log       *logrus.Logger
 		recorder  *recorder.Recorder
+		registry  metrics.Registry
 		dialer    *dialer.Dialer
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
@@ -69,6 +72,7 @@
 	p := &Process{
 		settings: settings,
 		recorder: recorder.New(settings.Name, settings.Domain),
+		registry: metrics.NewRegistry(),
 		dialer:   dialer.New(),
 		mux:      drpcmux.New(),
 	}
@@ -139,7 +143,7 @@
 // serveHTTP serves until the context ends, then calls drain and finishes the
 // requests in flight.
 func (p *Process) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, drain func()) {
-	server := p.newHTTP(handler)
+	server := p.newHTTP(meter.Handler(p.registry, handler))
 	p.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve HTTP")
