Measure added latency with the usual number of upstreams too

Cause: with one upstream, arrivals that come together wait for its 8 slots; the direct call has no such limit, so the figure mixed queueing with overhead.

Change: the latency experiment runs with 11 upstreams and with one, and counts requests that were not answered. The rig keeps credits as the entry does.

--- a/internal/load/generator/experiment.go
+++ b/internal/load/generator/experiment.go
@@ -48,10 +48,11 @@
 }
 
 const (
-	bodyBytes   = 200
-	latencyWork = 5 * time.Millisecond
-	// halfLoad is half of what the slots of one upstream serve.
-	halfLoad       = float64(rigSlots) / 2 * float64(time.Second) / float64(latencyWork)
+	bodyBytes = 200
+	// The work of a request is chosen for about a thousand requests a second at
+	// half load, which leaves the machine idle enough to measure latencies.
+	oneWork        = 5 * time.Millisecond
+	allWork        = 40 * time.Millisecond
 	processorRate  = 1500
 	overloadWork   = 20 * time.Millisecond
 	overloadPeak   = float64(rigSlots) * float64(time.Second) / float64(overloadWork)
@@ -115,17 +116,32 @@
 	return New(plan).Run(ctx)
 }
 
-// latency measures what entry and agent add to the direct call at half load.
+// latency measures what entry and agent add to the direct call at half load: with
+// the usual number of upstreams, and with a single one. With a single one, requests
+// that arrive together wait for its slots, which the direct call does not.
 func (x *Experiments) latency(ctx context.Context) error {
-	r, err := newRig(1, latencyWork)
+	if err := x.added(ctx, "11 upstreams", slowUpstreams, allWork); err != nil {
+		return err
+	}
+	return x.added(ctx, "1 upstream", 1, oneWork)
+}
+
+func (x *Experiments) added(ctx context.Context, name string, upstreams int, work time.Duration) error {
+	r, err := newRig(upstreams, work)
 	if err != nil {
 		return err
 	}
 	defer r.close()
-	x.load(ctx, r.entry, halfLoad, nil) // connections and estimates settle
+	rate := float64(upstreams*rigSlots) / 2 * float64(time.Second) / float64(work)
+	all := func(p *Plan) {
+		for _, address := range r.others {
+			p.Others = append(p.Others, rigURL(address))
+		}
+	}
+	x.load(ctx, r.entry, rate, nil) // connections and estimates settle
 	for range x.Rounds {
-		direct := x.load(ctx, r.direct, halfLoad, nil)
-		through := x.load(ctx, r.entry, halfLoad, nil)
+		direct := x.load(ctx, r.direct, rate, all)
+		through := x.load(ctx, r.entry, rate, nil)
 		f := Figure{Experiment: "latency", Unit: "ms"}
 		for _, v := range []struct {
 			name  string
@@ -134,15 +150,14 @@
 		}{
 			{"direct p50", direct.P50, 0},
 			{"direct p99", direct.P99, 0},
-			{"entry and agent p50", through.P50, 0},
-			{"entry and agent p99", through.P99, 0},
 			{"added p50", through.P50 - direct.P50, 0.2},
 			{"added p99", through.P99 - direct.P99, 1},
 			{"tool late p99", through.Late, 0},
 		} {
-			f.Name, f.Bound = v.name, v.bound
+			f.Name, f.Bound = name+", "+v.name, v.bound
 			x.note(f, float64(v.value))
 		}
+		x.note(Figure{Experiment: "latency", Name: name + ", not answered", Unit: "requests"}, float64(through.Refused+through.Unknown))
 	}
 	return nil
 }
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -21,6 +21,7 @@
 	// Plan says what load to send.
 	Plan struct {
 		URL       string
+		Others    []string // further targets; the requests go to all in turn
 		Method    string
 		Body      int           // bytes
 		PerSecond float64       // mean rate of arrivals
@@ -149,7 +150,11 @@
 }
 
 func (g *Generator) exchange(ctx context.Context, number int) (status int, executed string, whole bool) {
-	request, err := http.NewRequestWithContext(ctx, g.plan.Method, g.plan.URL, bytes.NewReader(g.body))
+	target := g.plan.URL
+	if n := number % (len(g.plan.Others) + 1); n > 0 {
+		target = g.plan.Others[n-1]
+	}
+	request, err := http.NewRequestWithContext(ctx, g.plan.Method, target, bytes.NewReader(g.body))
 	if err != nil {
 		return 0, "", false
 	}
--- a/internal/load/generator/rig.go
+++ b/internal/load/generator/rig.go
@@ -28,9 +28,10 @@
 	// rig is an entry, its agents and their stand-in upstreams on loopback, and
 	// beside them the paths that they are compared with.
 	rig struct {
-		entry   string // address
-		direct  string // address of the first upstream
-		chained string // address of two chained standard reverse proxies
+		entry   string   // address
+		direct  string   // address of the first upstream
+		others  []string // addresses of the others
+		chained string   // address of two chained standard reverse proxies
 		workers []*worker
 		metrics metrics.Registry
 		stops   []func()
@@ -73,6 +74,8 @@
 		}
 		if i == 0 {
 			r.direct = address
+		} else {
+			r.others = append(r.others, address)
 		}
 		r.workers = append(r.workers, w)
 		agent := server.New(address, jaygw.Incarnation(i+1), limiter.New(rigSlots, rigQueue))
@@ -96,6 +99,7 @@
 	connections := dialer.New()
 	r.stops = append(r.stops, func() { _ = connections.Close() })
 	edge := forwarder.New("entry", "1", routes, connections, quiet, forwarder.WithRegistry(r.metrics))
+	go edge.KeepCredits(ctx)
 	var err error
 	if r.entry, err = r.serve(&http.Server{Handler: edge.Handler(), ReadHeaderTimeout: time.Minute}, forwarder.Guard); err != nil {
 		return nil, err
