Send the end of a response in one write

Cause: the agent wrote the last message and the end of the stream in two writes, and the entry closed the attempt before the response was flushed to the caller.

Change: the last message is flushed with the end of the stream; the entry flushes the response first.

--- a/internal/agent/server/exchange.go
+++ b/internal/agent/server/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/limiter"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
+	"storj.io/drpc"
 )
 
 // exchange is one attempt at the agent.
@@ -20,7 +21,14 @@
 	stream messenger.DRPCUpstream_AttemptStream
 	head   *messenger.AttemptHead
 	began  time.Time
-	sent   uint32 // messages
+	sent   uint32     // messages
+	held   heldStream // nil if sends are flushed at once
+}
+
+// heldStream is a drpc stream whose sends wait for a flush.
+type heldStream interface {
+	SetManualFlush(manual bool)
+	RawFlush() error
 }
 
 func (e *exchange) send(m *messenger.AttemptResponse) error {
@@ -31,7 +39,24 @@
 	m.Leaving = e.server.leaving.Load()
 	m.Sequence = e.sent
 	e.sent++
-	return e.stream.Send(m)
+	if err := e.stream.Send(m); err != nil || m.Last || e.held == nil {
+		return err
+	}
+	return e.held.RawFlush()
+}
+
+// holdFlush makes sends wait for a flush, so that the last message goes out with
+// the end of the stream in one write. It is called before another goroutine
+// receives from the stream, which reads the same setting.
+func (e *exchange) holdFlush() {
+	wrapped, ok := e.stream.(interface{ GetStream() drpc.Stream })
+	if !ok {
+		return
+	}
+	if held, ok := wrapped.GetStream().(heldStream); ok {
+		held.SetManualFlush(true)
+		e.held = held
+	}
 }
 
 // refuse answers that the upstream was given no byte.
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -89,6 +89,7 @@
 	}
 	now := time.Now()
 	e := &exchange{server: s, stream: stream, head: first.Head, began: now}
+	e.holdFlush()
 	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	switch {
--- a/internal/entry/forwarder/forward.go
+++ b/internal/entry/forwarder/forward.go
@@ -201,8 +201,7 @@
 	record.start(status, message.Header, length)
 	q.w.WriteHeader(status)
 	if !hasBody {
-		record.finish()
-		f.counts.answered.Inc(1)
+		f.finish(q, record)
 		return
 	}
 	var written int64
@@ -222,8 +221,7 @@
 			return
 		}
 		if message.Last {
-			record.finish()
-			f.counts.answered.Inc(1)
+			f.finish(q, record)
 			return
 		}
 		if !callerGone {
@@ -237,6 +235,16 @@
 	}
 }
 
+// finish sends what is left of the response before the attempt is closed, so that
+// the caller does not wait for that.
+func (f *Forwarder) finish(q *request, record *recording) {
+	record.finish()
+	f.counts.answered.Inc(1)
+	if q.w.Header()["Content-Length"] != nil {
+		_ = q.control.Flush()
+	}
+}
+
 func (f *Forwarder) abort(a *attempt) {
 	a.result = router.Failed
 	f.counts.cutOff.Inc(1)
