Fix the cancellation of a job whose other tasks have ended

Cause: canceling the last waiting task ends the job and drops its tasks; the loop over the job's tasks then met a nil task, which stopped the replica. Change: skip dropped tasks. Also add the command NoteJobs, with which the leader sets the reason why an active job cannot run at present. Conclusion: TestCancelAfterCompletions fails without the fix.

--- a/command.go
+++ b/command.go
@@ -24,6 +24,7 @@
 		Settle     *SettleKeys      `cbor:"21,keyasint,omitempty"`
 		RemoveVM   *RemoveVM        `cbor:"22,keyasint,omitempty"`
 		Resize     *ResizeTasks     `cbor:"23,keyasint,omitempty"`
+		Note       *NoteJobs        `cbor:"30,keyasint,omitempty"`
 	}
 
 	// SubmitDocument puts a document on trial.
@@ -132,6 +133,18 @@
 		Resizes []Resize `cbor:"1,keyasint"`
 	}
 
+	// JobNote says why a job cannot run at present; an empty reason withdraws it.
+	JobNote struct {
+		Environment string `cbor:"1,keyasint"`
+		Name        string `cbor:"2,keyasint"`
+		Reason      string `cbor:"3,keyasint,omitempty"`
+	}
+
+	// NoteJobs sets the reasons of active jobs.
+	NoteJobs struct {
+		Notes []JobNote `cbor:"1,keyasint"`
+	}
+
 	// KeyClaim claims one idempotency key for one request.
 	KeyClaim struct {
 		Key     string `cbor:"1,keyasint"` // environment, service, caller's key
--- a/internal/control/applier/jobs.go
+++ b/internal/control/applier/jobs.go
@@ -97,11 +97,31 @@
 		return jaygw.Result{Already: true}
 	}
 	for _, id := range m.index.tasksOf(key) {
-		m.cancelTask(m.state.Tasks[id])
+		// The cancellation of the job's last task drops all of them.
+		if task, ok := m.state.Tasks[id]; ok {
+			m.cancelTask(task)
+		}
 	}
 	return jaygw.Result{}
 }
 
+// noteJobs sets the reasons of active jobs.
+func (m *Machine) noteJobs(batch jaygw.NoteJobs) jaygw.Result {
+	results := make([]jaygw.ItemResult, len(batch.Notes))
+	for i, note := range batch.Notes {
+		key := ownerKey(note.Environment, note.Name)
+		job, ok := m.state.Jobs[key]
+		if !ok || job.State != jaygw.JobActive {
+			results[i] = item(jaygw.RefusedState, "job %s is not active", key)
+			continue
+		}
+		next := *job
+		next.Reason = note.Reason
+		m.state.Jobs[key] = &next
+	}
+	return jaygw.Result{Results: results}
+}
+
 // taskEnded counts an ended batch task. When the last task of a job has ended,
 // the job's tasks are dropped and only the counts are kept.
 func (m *Machine) taskEnded(task *jaygw.Task) {
--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -89,6 +89,9 @@
 	return m.index.tasksOf(ownerKey(environment, owner))
 }
 
+// TasksOfKey returns the ids of the tasks of an environment/owner, sorted.
+func (m *Machine) TasksOfKey(key string) []jaygw.TaskID { return m.index.tasksOf(key) }
+
 // Apply applies one committed command and returns its result. A resend gets the
 // result of the first command with its client and sequence.
 func (m *Machine) Apply(index jaygw.Index, command jaygw.Command) jaygw.Result {
@@ -143,6 +146,8 @@
 		return m.evictTasks(*c.Evict)
 	case c.Resize != nil:
 		return m.resizeTasks(*c.Resize)
+	case c.Note != nil:
+		return m.noteJobs(*c.Note)
 	case c.Claim != nil:
 		return m.claimKeys(*c.Claim)
 	case c.Settle != nil:
--- a/internal/control/applier/machine_test.go
+++ b/internal/control/applier/machine_test.go
@@ -110,6 +110,18 @@
 	require.True(t, l.machine.State().VMs["vm-a"].Committed.IsZero())
 }
 
+// Canceling a job whose other tasks have ended must end the job; it used to stop
+// the replica with a nil dereference.
+func TestCancelAfterCompletions(t *testing.T) {
+	l := newLog(t)
+	for _, id := range []jaygw.TaskID{"print/plates/1", "print/plates/2"} {
+		l.grant(id, 0, "vm-a")
+		l.report("vm-a", jaygw.Completed, id, 1)
+	}
+	l.accept(jaygw.Command{CancelJob: &jaygw.CancelJob{Environment: "print", Name: "plates"}})
+	require.Equal(t, jaygw.JobCanceled, l.machine.State().Jobs["print/plates"].State)
+}
+
 // A resend after a lost response must get the first result.
 func TestResendGetsTheFirstResult(t *testing.T) {
 	l := newLog(t)
