Decide over an incremental index and queues

Change: the scheduler observes the state machine. placer keeps the VMs in a tree of free sizes per failure domain and the waiting tasks in queues by class, team, owner and age; estimator learns sizes and interference from lagged usage. The dispatcher passes usage to the scheduler and its throttle orders to renewals. An agent that reports the end of an attempt is no longer told to kill it in the same response: it had just forgotten the attempt, stopped it again and reported that again, without end.

--- a/internal/schedule/dispatcher/dispatcher.go
+++ b/internal/schedule/dispatcher/dispatcher.go
@@ -36,6 +36,7 @@
 		scheduler *scheduler.Scheduler
 		expiring  map[string]chan struct{} // closed once the expiry is applied
 		silent    map[string]bool
+		fresh     bool // the leadership is new to the scheduler
 	}
 
 	// Option changes a new Dispatcher.
@@ -63,7 +64,7 @@
 	for _, option := range options {
 		option(d)
 	}
-	d.scheduler = scheduler.New(scheduler.WithHealth(func(vm string) bool { return !d.silent[vm] }))
+	d.scheduler = scheduler.New()
 	return d
 }
 
@@ -77,6 +78,7 @@
 	d.leads = leads
 	d.term = term
 	d.silent = map[string]bool{}
+	d.fresh = true
 	if leads {
 		d.lessor = lessor.New(now)
 		d.log.Infof("scheduler: leading control group in term %d", term)
@@ -107,6 +109,10 @@
 		return
 	}
 	d.replica.Read(func(machine *applier.Machine) {
+		if d.fresh {
+			d.scheduler.Reset()
+			d.fresh = false
+		}
 		d.updateLiveness(machine.State(), now)
 		for _, expire := range d.lessor.Expired(machine.State().VMs, now) {
 			if len(machine.TasksOn(expire.Name)) == 0 {
@@ -116,6 +122,9 @@
 			commands = append(commands, jaygw.Command{ExpireVM: &expire})
 		}
 		commands = append(commands, d.scheduler.Decide(machine, max(machine.State().Time, jaygw.TimeOf(now)))...)
+		for _, vm := range d.scheduler.ChangedOrders() {
+			d.notes.vm(vm)
+		}
 	})
 	d.mu.Unlock()
 	for _, command := range commands {
@@ -144,6 +153,7 @@
 		silent := d.lessor.Silent(name, now)
 		if silent != d.silent[name] {
 			d.silent[name] = silent
+			d.scheduler.SetSilent(name, silent)
 			changed = true
 		}
 	}
--- a/internal/schedule/dispatcher/observe.go
+++ b/internal/schedule/dispatcher/observe.go
@@ -5,7 +5,8 @@
 var _ jaygw.Observer = (*watcher)(nil)
 
 // watcher tells a dispatcher of applied changes. It runs while the replica's
-// state is locked, so it only marks what has changed.
+// state is locked, so it only marks what has changed and keeps the scheduler's index
+// current.
 type watcher struct {
 	d *Dispatcher
 }
@@ -15,6 +16,7 @@
 
 // TaskChanged notes the VMs whose assignments have changed.
 func (w *watcher) TaskChanged(before, after *jaygw.Task) {
+	w.d.scheduler.TaskChanged(before, after)
 	for _, task := range []*jaygw.Task{before, after} {
 		if task != nil && task.VM != "" {
 			w.d.notes.vm(task.VM)
@@ -28,6 +30,7 @@
 
 // VMChanged notes that the view has changed.
 func (w *watcher) VMChanged(before, after *jaygw.VM) {
+	w.d.scheduler.VMChanged(before, after)
 	if before == nil || after == nil || before.Incarnation != after.Incarnation ||
 		before.Leaving != after.Leaving || before.Address != after.Address {
 		w.d.notes.view()
@@ -36,19 +39,22 @@
 }
 
 // DomainChanged notes that the view has changed.
-func (w *watcher) DomainChanged(*jaygw.FailureDomain) {
+func (w *watcher) DomainChanged(after *jaygw.FailureDomain) {
+	w.d.scheduler.DomainChanged(after)
 	w.d.notes.view()
 	w.d.wakeUp()
 }
 
 // DocumentChanged notes that the view has changed.
-func (w *watcher) DocumentChanged(*jaygw.Submitted) {
+func (w *watcher) DocumentChanged(after *jaygw.Submitted) {
+	w.d.scheduler.DocumentChanged(after)
 	w.d.notes.view()
 	w.d.wakeUp()
 }
 
 // Reset notes that everything may have changed.
 func (w *watcher) Reset() {
+	w.d.scheduler.Reset()
 	w.d.notes.all()
 	w.d.wakeUp()
 }
--- a/internal/schedule/dispatcher/renew.go
+++ b/internal/schedule/dispatcher/renew.go
@@ -8,14 +8,10 @@
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/jaygw/jaygw/internal/schedule/lessor"
+	"github.com/jaygw/jaygw/internal/schedule/scheduler"
 	"github.com/rotisserie/eris"
 )
 
-const (
-	failureBackoff    = 500 * time.Millisecond
-	maxFailureBackoff = 30 * time.Second
-)
-
 // Renew answers a renewal. It commits the reports in it, holds the response until
 // there is something new for the VM, and confirms the leadership with a quorum
 // before it answers.
@@ -42,7 +38,13 @@
 	if !d.leads {
 		return jaygw.ErrNotLeader
 	}
-	d.lessor.Heard(r.VM, r.Incarnation, time.Now())
+	now := time.Now()
+	d.lessor.Heard(r.VM, r.Incarnation, now)
+	if len(r.Usage) > 0 {
+		d.replica.Read(func(machine *applier.Machine) {
+			d.scheduler.Observe(machine, r.VM, r.Usage, max(machine.State().Time, jaygw.TimeOf(now)))
+		})
+	}
 	return ctx.Err()
 }
 
@@ -78,7 +80,7 @@
 		for _, sequenced := range r.Reports {
 			report := sequenced.Report
 			if task := state.Tasks[report.Attempt.Task]; report.Kind == jaygw.AttemptFailed && task != nil {
-				report.NotBefore = state.Time.Add(backoff(task.Failures))
+				report.NotBefore = state.Time.Add(scheduler.Backoff(report.Attempt, task.Failures))
 			}
 			batch.Reports = append(batch.Reports, report)
 			acknowledged = max(acknowledged, sequenced.Sequence)
@@ -91,10 +93,6 @@
 	return acknowledged, result.Err()
 }
 
-func backoff(failures int) time.Duration {
-	return min(failureBackoff<<min(failures, 10), maxFailureBackoff)
-}
-
 // hold waits until the VM's assignments have changed since the last response, or
 // the time that the agent allows is over.
 func (d *Dispatcher) hold(ctx context.Context, r jaygw.Renewal) {
@@ -142,7 +140,10 @@
 	}
 	var failure error
 	result.Revision, _ = d.notes.ofVM(r.VM)
-	d.replica.Read(func(machine *applier.Machine) { failure = fill(&result, machine, r) })
+	d.replica.Read(func(machine *applier.Machine) {
+		failure = fill(&result, machine, r)
+		result.Orders = append(result.Orders, d.scheduler.Orders(r.VM)...)
+	})
 	if failure == nil {
 		d.lessor.Granted(r.VM, r.Incarnation, time.Now(), terms)
 	}
@@ -191,13 +192,22 @@
 		}
 	}
 	for _, attempt := range r.Known {
-		if !inForce[attempt] {
+		if !inForce[attempt] && !endReported(r.Reports, attempt) {
 			result.Orders = append(result.Orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionKill})
 		}
 	}
 	return nil
 }
 
+// endReported reports whether the renewal says that an attempt is over. The agent
+// forgets it with the response, and an order to kill it would make the agent stop
+// it and report it once more, without end.
+func endReported(reports []jaygw.SequencedReport, attempt jaygw.Attempt) bool {
+	return slices.ContainsFunc(reports, func(r jaygw.SequencedReport) bool {
+		return r.Report.Attempt == attempt && r.Report.Kind != jaygw.Started && r.Report.Kind != jaygw.Checkpointed
+	})
+}
+
 func permit(task *jaygw.Task) jaygw.Permit {
 	p := jaygw.Permit{
 		Attempt: task.Attempt(), Kind: task.Kind, Class: task.Class, Size: task.Reserved,
--- /dev/null
+++ b/internal/schedule/scheduler/place.go
@@ -0,0 +1,441 @@
+package scheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/schedule/placer"
+)
+
+type (
+	// hold keeps room on a VM for one task, until what runs there has ended.
+	hold struct {
+		node  *placer.Node
+		size  jaygw.Resources
+		since jaygw.Time
+		aged  bool // for a job that small ones would starve
+	}
+
+	// turns orders teams by their use in proportion to their weight.
+	turns []*turn
+
+	turn struct {
+		team  *placer.TeamQueue
+		share float64
+	}
+)
+
+const (
+	// agedAfter is the time after which a job that fits nowhere gets a
+	// reservation.
+	agedAfter = 30 * time.Second
+
+	// holdTime bounds a reservation: the VM chosen may have been a bad choice.
+	holdTime = 10 * time.Minute
+
+	// agedShare bounds the VMs with reservations for aged jobs, in percent. The
+	// rest of the VMs go on with jobs that fit.
+	agedShare = 5
+
+	// maxShapes bounds the table of shapes before it is built again.
+	maxShapes = 4096
+
+	// sameVMCost keeps a task away from the VM where it has failed last.
+	sameVMCost = 2.0
+
+	// interferenceCost weighs the logarithm of a service's rise in latency
+	// against load.
+	interferenceCost = 8.0
+
+	// probeBonus makes a VM that waits for a probe attractive to one task.
+	probeBonus = 4.0
+)
+
+// grantHeld starts the tasks that have a place reserved for them, once it is
+// free.
+func (d *decision) grantHeld() {
+	for _, id := range sortedNames(d.holds) {
+		h := d.holds[id]
+		task := d.state.Tasks[id]
+		if task == nil || d.holdOver(h, task) {
+			d.dropHold(id)
+			continue
+		}
+		if task.State != jaygw.Waiting || task.NotBefore > d.now || len(d.grants) == maxGrants {
+			continue
+		}
+		d.index.Hold(h.node, jaygw.Resources{}.Sub(h.size))
+		if h.size.Fits(h.node.Free()) && d.quotaAllows(task, h.size) {
+			delete(d.holds, id)
+			d.grant(task, h.node, h.size)
+			continue
+		}
+		d.index.Hold(h.node, h.size)
+	}
+}
+
+// holdOver reports whether a reservation is of no more use: its VM is closed, its
+// task was to move and no longer has to, or it is too old.
+func (d *decision) holdOver(h *hold, task *jaygw.Task) bool {
+	if d.index.Node(h.node.VM.Name) != h.node || !h.node.Open() || d.now.Sub(h.since) > holdTime {
+		return true
+	}
+	if task.State == jaygw.Granted || task.State == jaygw.Running {
+		n := d.index.Node(task.VM)
+		return n == nil || !n.Leaves()
+	}
+	return false
+}
+
+// grantClass starts waiting tasks of a class, the team with the smallest use for
+// its weight first.
+func (d *decision) grantClass(class int) {
+	var order turns
+	for _, team := range d.queue.Teams(class) {
+		if class != 0 && team.Idle && team.Seen == d.state.Teams[team.Key] {
+			continue
+		}
+		team.Seen = d.state.Teams[team.Key]
+		team.Idle = true
+		if team.Seen != nil {
+			order = append(order, &turn{team: team, share: d.share(team.Key)})
+		}
+	}
+	heap.Init(&order)
+	for len(order) > 0 && len(d.grants) < maxGrants {
+		next := order[0]
+		if !d.serve(next.team) {
+			heap.Pop(&order)
+			continue
+		}
+		next.share = d.share(next.team.Key)
+		heap.Fix(&order, 0)
+	}
+	for _, left := range order {
+		left.team.Idle = false // stopped by the limit of one decision
+	}
+}
+
+// serve starts one task of the team and reports whether it could.
+func (d *decision) serve(team *placer.TeamQueue) bool {
+	for {
+		g := team.Group()
+		if g == nil {
+			return false
+		}
+		task := g.Head()
+		if d.granted[task.ID] {
+			d.taken = append(d.taken, g.Take())
+			continue
+		}
+		shape := d.shape(g, task)
+		important := outranksBatch(task)
+		if shape.Blocked && !important || !d.quotaAllows(task, shape.Size) {
+			team.Skip()
+			continue
+		}
+		if node := d.index.Find(d.request(task, shape)); node != nil {
+			d.dropHold(task.ID)
+			d.grant(task, node, shape.Size)
+			d.taken = append(d.taken, g.Take())
+			return true
+		}
+		shape.Blocked = true
+		if !important {
+			team.Skip()
+			continue
+		}
+		team.Idle = false
+		if d.holds[task.ID] == nil && !d.makeRoom(task, shape) {
+			team.Skip()
+			continue
+		}
+		d.taken = append(d.taken, g.Take())
+	}
+}
+
+// outranksBatch reports whether bulk batch work gives way to the task.
+func outranksBatch(task *jaygw.Task) bool {
+	return task.Class == jaygw.Urgent || task.Kind == jaygw.ServiceTask && task.Class == jaygw.LatencyCritical
+}
+
+func (d *decision) grant(task *jaygw.Task, node *placer.Node, size jaygw.Resources) {
+	d.index.Plan(node, size)
+	d.charge(placer.TeamKey(task), size)
+	d.granted[task.ID] = true
+	d.grants = append(d.grants, jaygw.Grant{
+		Task: task.ID, After: task.Epoch, VM: node.VM.Name, Incarnation: node.VM.Incarnation, Reserve: size,
+	})
+	if d.health.probed(node.VM.Name, task.ID, d.now) {
+		d.index.SetBarred(node.VM.Name, true)
+	}
+}
+
+func (d *decision) charge(team string, size jaygw.Resources) {
+	d.used[team] = d.teamUse(team).Add(size)
+}
+
+func (d *decision) teamUse(key string) jaygw.Resources {
+	if used, ok := d.used[key]; ok {
+		return used
+	}
+	if team := d.state.Teams[key]; team != nil {
+		return team.Used
+	}
+	return jaygw.Resources{}
+}
+
+func (d *decision) quotaAllows(task *jaygw.Task, size jaygw.Resources) bool {
+	key := placer.TeamKey(task)
+	team := d.state.Teams[key]
+	return team != nil && d.teamUse(key).Add(size).Fits(team.Quota)
+}
+
+// share returns a team's use in proportion to its weight.
+func (d *decision) share(key string) float64 {
+	return placer.Share(d.teamUse(key), d.index.Total()) / float64(max(1, d.state.Teams[key].Weight))
+}
+
+// shape returns what decides where the group's tasks fit.
+func (d *decision) shape(g *placer.Group, task *jaygw.Task) *placer.Shape {
+	if g.Shape != nil {
+		return g.Shape
+	}
+	team := d.state.Teams[g.Team.Key]
+	size := d.reserve(task)
+	wanted := placer.Request{Size: size, Domains: task.Domains, MayStart: team.MayStart}
+	if size != task.Declared && (!size.Fits(team.Quota) || !d.index.CouldFit(wanted)) {
+		size = task.Declared
+	}
+	key := shapeKey{size, strings.Join(task.Domains, "\n"), strings.Join(team.MayStart, "\n")}
+	shape, ok := d.shapes[key]
+	if !ok {
+		if len(d.shapes) >= maxShapes {
+			d.shapes = map[shapeKey]*placer.Shape{}
+		}
+		shape = &placer.Shape{Size: size, Domains: task.Domains, MayStart: team.MayStart}
+		d.shapes[key] = shape
+	}
+	g.Shape = shape
+	return shape
+}
+
+// unblock lets shapes be tried again that fit on a VM with more room than before.
+func (d *decision) unblock() {
+	freed := d.index.TakeFreed()
+	if len(freed) == 0 {
+		return
+	}
+	woken := false
+	for _, shape := range d.shapes {
+		if !shape.Blocked {
+			continue
+		}
+		for _, n := range freed {
+			if shape.Size.Fits(n.Free()) && placer.Allows(shape.Domains, n.Domain.Name) &&
+				placer.Allows(shape.MayStart, n.Domain.Name) {
+				shape.Blocked = false
+				woken = true
+				break
+			}
+		}
+	}
+	if woken {
+		d.queue.Wake()
+	}
+}
+
+func (d *decision) request(task *jaygw.Task, shape *placer.Shape) placer.Request {
+	owner := placer.OwnerKey(task)
+	return placer.Request{
+		Owner: owner, Size: shape.Size, Domains: shape.Domains, MayStart: shape.MayStart,
+		Spread: task.Kind == jaygw.ServiceTask,
+		Seed:   placer.Seed(task.ID, task.Epoch),
+		Cost:   func(n *placer.Node) float64 { return d.cost(task, owner, n) },
+	}
+}
+
+// cost rates what the size does not show: probes, earlier failures and
+// interference.
+func (d *decision) cost(task *jaygw.Task, owner string, n *placer.Node) float64 {
+	cost := 0.0
+	if d.health.probing(n.VM.Name) {
+		if !bulkBatch(task) {
+			return placer.Never
+		}
+		cost -= probeBonus
+	}
+	if task.Failures > 0 && d.health.lastFailure(task.ID) == n.VM.Name {
+		cost += sameVMCost
+	}
+	if d.withoutInterference {
+		return cost
+	}
+	for other := range n.Owners() {
+		if task.Kind == jaygw.ServiceTask {
+			cost += interferenceCost * d.interference.Effect(owner, other, d.now)
+		} else {
+			cost += interferenceCost * d.interference.Effect(other, owner, d.now)
+		}
+	}
+	return cost
+}
+
+func bulkBatch(task *jaygw.Task) bool {
+	return task.Kind == jaygw.BatchTask && task.Class == jaygw.Bulk
+}
+
+// reserveForAged holds room for one job that has waited for long.
+func (d *decision) reserveForAged() {
+	aged := 0
+	for _, h := range d.holds {
+		if h.aged {
+			aged++
+		}
+	}
+	if aged >= max(1, d.index.Nodes()*agedShare/100) {
+		return
+	}
+	var oldest *placer.Group
+	for class := range 3 {
+		for _, team := range d.queue.Teams(class) {
+			if held := d.oldestBlocked(team); held != nil && (oldest == nil || held.Head().Since < oldest.Head().Since) {
+				oldest = held
+			}
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	task, shape := oldest.Head(), oldest.Shape
+	if node := d.nearestToFit(d.request(task, shape)); node != nil {
+		d.hold(task.ID, &hold{node: node, size: shape.Size, since: d.now, aged: true})
+	}
+}
+
+// oldestBlocked returns the team's first group that is aged, fits nowhere now, is
+// within the quota and has no reservation.
+func (d *decision) oldestBlocked(team *placer.TeamQueue) *placer.Group {
+	var found *placer.Group
+	team.Groups(func(g *placer.Group) {
+		if found != nil || g.Shape == nil || !g.Shape.Blocked {
+			return
+		}
+		if head := g.Head(); head != nil && d.now.Sub(head.Since) >= agedAfter && d.holds[head.ID] == nil &&
+			d.quotaAllows(head, g.Shape.Size) {
+			found = g
+		}
+	})
+	return found
+}
+
+// nearestToFit returns the open VM that needs the least more room for the task.
+func (d *decision) nearestToFit(r placer.Request) *placer.Node {
+	var best *placer.Node
+	bestLack := 0.0
+	accept := func(n *placer.Node) bool {
+		return n.Open() && !d.health.probing(n.VM.Name) && r.Size.Fits(n.VM.Size)
+	}
+	for _, n := range d.index.Sample(r, d.index.Nodes(), accept) {
+		lack := placer.Share(r.Size.Sub(n.Spare()), n.VM.Size)
+		if best == nil || lack < bestLack || lack == bestLack && n.VM.Name < best.VM.Name {
+			best, bestLack = n, lack
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) hold(id jaygw.TaskID, h *hold) {
+	s.dropHold(id)
+	s.holds[id] = h
+	s.index.Hold(h.node, h.size)
+}
+
+func (s *Scheduler) dropHold(id jaygw.TaskID) {
+	if h, ok := s.holds[id]; ok {
+		delete(s.holds, id)
+		if s.index.Node(h.node.VM.Name) == h.node {
+			s.index.Hold(h.node, jaygw.Resources{}.Sub(h.size))
+		}
+	}
+}
+
+// noteStuck reports jobs that no VM could run even if it were empty.
+func (d *decision) noteStuck() {
+	if d.stuckAt == d.index.Version() {
+		return
+	}
+	d.stuckAt = d.index.Version()
+	stuck := map[string]string{}
+	for class := range 3 {
+		for _, team := range d.queue.Teams(class) {
+			team.Groups(func(g *placer.Group) {
+				if task := g.Head(); task != nil && task.Kind == jaygw.BatchTask {
+					if reason := d.neverFits(task); reason != "" {
+						stuck[g.Owner] = reason
+					}
+				}
+			})
+		}
+	}
+	for _, owner := range sortedNames(stuck) {
+		if d.stuck[owner] != stuck[owner] {
+			d.note(owner, stuck[owner])
+		}
+	}
+	for _, owner := range sortedNames(d.stuck) {
+		if stuck[owner] == "" {
+			d.note(owner, "")
+		}
+	}
+	d.stuck = stuck
+}
+
+func (d *decision) note(owner, reason string) {
+	if job := d.state.Jobs[owner]; job != nil && job.State == jaygw.JobActive {
+		d.notes = append(d.notes, jaygw.JobNote{Environment: job.Spec.Environment, Name: job.Spec.Name, Reason: reason})
+	}
+}
+
+// neverFits returns why a waiting task can never run in the present estate, or
+// nothing.
+func (d *decision) neverFits(task *jaygw.Task) string {
+	team := d.state.Teams[placer.TeamKey(task)]
+	switch {
+	case team == nil:
+		return "team " + task.Team + " is no longer declared"
+	case !task.Declared.Fits(team.Quota):
+		return "a task is larger than the quota of team " + task.Team
+	case !d.index.CouldFit(placer.Request{Size: task.Declared, Domains: task.Domains, MayStart: team.MayStart}):
+		return "a task is larger than every VM where team " + task.Team + " may start it"
+	}
+	return ""
+}
+
+func sortedNames[K cmp.Ordered, V any](table map[K]V) []K {
+	return slices.Sorted(maps.Keys(table))
+}
+
+func (t turns) Len() int { return len(t) }
+
+func (t turns) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(t[i].share, t[j].share), cmp.Compare(t[i].team.Key, t[j].team.Key)) < 0
+}
+
+func (t turns) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push is for container/heap.
+func (t *turns) Push(x any) { *t = append(*t, x.(*turn)) }
+
+// Pop is for container/heap.
+func (t *turns) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/schedule/scheduler/preempt.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/schedule/placer"
+)
+
+type victim struct {
+	task *jaygw.Task
+	lost time.Duration
+}
+
+const (
+	// maxSearches bounds the searches for tasks to evict in one decision.
+	maxSearches = 64
+
+	// searchedVMs bounds the VMs that one search looks at.
+	searchedVMs = 64
+
+	// searchInterval is the time between two searches for a shape that have
+	// found nothing.
+	searchInterval = 200 * time.Millisecond
+)
+
+// makeRoom evicts bulk batch work of teams over their share where the least work
+// is lost, and holds the place for the task.
+func (d *decision) makeRoom(task *jaygw.Task, shape *placer.Shape) bool {
+	if d.searches == maxSearches || shape.NextSearch > d.now {
+		return false
+	}
+	d.searches++
+	r := d.request(task, shape)
+	accept := func(n *placer.Node) bool {
+		return n.Open() && !d.health.probing(n.VM.Name) && shape.Size.Fits(n.Spare().Add(n.Bulk))
+	}
+	var best []victim
+	var place *placer.Node
+	bestLost := time.Duration(0)
+	for _, n := range d.index.Sample(r, searchedVMs, accept) {
+		victims, lost, ok := d.victims(n, shape.Size)
+		if ok && (place == nil || lost < bestLost || lost == bestLost && n.VM.Name < place.VM.Name) {
+			best, place, bestLost = victims, n, lost
+		}
+	}
+	if place == nil {
+		shape.NextSearch = d.now.Add(searchInterval)
+		return false
+	}
+	for _, v := range best {
+		d.evict(v.task, "gives way to "+string(task.ID))
+	}
+	d.hold(task.ID, &hold{node: place, size: shape.Size, since: d.now})
+	return true
+}
+
+// victims returns tasks on the VM that free the size, and the work that is lost
+// with them.
+func (d *decision) victims(n *placer.Node, size jaygw.Resources) ([]victim, time.Duration, bool) {
+	var candidates []victim
+	for _, id := range d.machine.TasksOn(n.VM.Name) {
+		task := d.state.Tasks[id]
+		if placer.Evictable(task) && !d.evicted[id] && d.overShare(placer.TeamKey(task)) {
+			candidates = append(candidates, victim{task, d.lostWork(task)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.task.ID, b.task.ID))
+	})
+	room := n.Spare()
+	var chosen []victim
+	for _, c := range candidates {
+		if size.Fits(room) {
+			break
+		}
+		if short(size, room, c.task.Reserved) {
+			room = room.Add(c.task.Reserved)
+			chosen = append(chosen, c)
+		}
+	}
+	if !size.Fits(room) {
+		return nil, 0, false
+	}
+	// A later, larger victim may have made an earlier one unnecessary.
+	lost := time.Duration(0)
+	kept := chosen[:0]
+	for _, c := range chosen {
+		if size.Fits(room.Sub(c.task.Reserved)) {
+			room = room.Sub(c.task.Reserved)
+			continue
+		}
+		kept = append(kept, c)
+		lost += c.lost
+	}
+	return kept, lost, true
+}
+
+// short reports whether the release adds to a resource that does not suffice.
+func short(size, room, release jaygw.Resources) bool {
+	return size.CPU > room.CPU && release.CPU > 0 || size.Memory > room.Memory && release.Memory > 0 ||
+		size.Accelerators > room.Accelerators && release.Accelerators > 0
+}
+
+// lostWork returns the work that an attempt has done since its checkpoint.
+func (s *Scheduler) lostWork(task *jaygw.Task, now jaygw.Time) time.Duration {
+	if task.State != jaygw.Running {
+		return 0
+	}
+	return max(0, s.bases[task.ID].Std()+now.Sub(task.Since)-task.Checkpoint.Progress.Std())
+}
+
+func (d *decision) lostWork(task *jaygw.Task) time.Duration {
+	return d.Scheduler.lostWork(task, d.now)
+}
+
+// weigh adds the weights of the teams that use or want resources.
+func (d *decision) weigh() {
+	wanting := map[string]bool{}
+	for class := range 3 {
+		for _, team := range d.queue.Teams(class) {
+			wanting[team.Key] = true
+		}
+	}
+	d.weights = 0
+	for key, team := range d.state.Teams {
+		if !team.Used.IsZero() || wanting[key] {
+			d.weights += float64(max(1, team.Weight))
+		}
+	}
+}
+
+// overShare reports whether a team uses more than its share by weight.
+func (d *decision) overShare(key string) bool {
+	team := d.state.Teams[key]
+	return team == nil || placer.Share(team.Used, d.index.Total())*d.weights > float64(max(1, team.Weight))
+}
--- a/internal/schedule/scheduler/scheduler.go
+++ b/internal/schedule/scheduler/scheduler.go
@@ -3,100 +3,177 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
+	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
+	"github.com/jaygw/jaygw/internal/schedule/estimator"
+	"github.com/jaygw/jaygw/internal/schedule/placer"
 )
 
 type (
-	// Scheduler decides from the applied state and the time. It is not safe for
-	// concurrent use.
+	// Scheduler decides from the applied state and the time. It observes the
+	// state machine to keep its index current. It is not safe for concurrent use:
+	// its callers hold the replica's lock.
 	Scheduler struct {
-		healthy func(vm string) bool
+		index           *placer.Index
+		queue           *placer.Queue
+		usage           *estimator.Usage
+		interference    *estimator.Interference
+		health          *health
+		shapes          map[shapeKey]*placer.Shape
+		holds           map[jaygw.TaskID]*hold
+		bases           map[jaygw.TaskID]jaygw.Duration // progress when the attempt in force began
+		rates           map[string]*rate                // of service moves, by environment
+		controls        map[string]*control             // of interference, by VM
+		reported        map[string]bool                 // VMs with new latencies
+		ordersFor       map[string]bool                 // VMs whose orders have changed
+		silent          map[string]bool
+		stuck           map[string]string // reason by environment/job
+		stuckAt         int               // version of the index that stuck was checked at
+		pending         map[string]bool   // owners whose running tasks have to be resized
+		quarantineShare int
+		weights         float64 // of all teams
+		ramping         bool
+		stale           bool // the index has to be built again
+		documents       bool // a document in force has changed
+		second          jaygw.Time
+
+		withoutInterference bool
+		withoutEstimates    bool
 	}
 
 	// Option changes a new Scheduler.
 	Option func(*Scheduler)
+
+	// decision is the work of one call of Decide.
+	decision struct {
+		*Scheduler
+		machine   *applier.Machine
+		state     *applier.State
+		now       jaygw.Time
+		used      map[string]jaygw.Resources // by team, with what is planned
+		granted   map[jaygw.TaskID]bool
+		evicted   map[jaygw.TaskID]bool
+		taken     []placer.Taken
+		grants    []jaygw.Grant
+		evictions []jaygw.Eviction
+		resizes   []jaygw.Resize
+		notes     []jaygw.JobNote
+		searches  int // for tasks to evict
+	}
+
+	shapeKey struct {
+		size              jaygw.Resources
+		domains, mayStart string
+	}
 )
 
 const (
-	// maxGrants bounds the grants of one decision.
+	// maxGrants bounds the grants of one decision, so that one log entry stays
+	// small; the next decision follows at once.
 	maxGrants = 256
+
+	// housekeeping is the interval of work that need not follow each change.
+	housekeeping = time.Second
 )
 
-// WithHealth sets the function that tells whether a VM may get new tasks.
-func WithHealth(healthy func(vm string) bool) Option {
-	return func(s *Scheduler) { s.healthy = healthy }
-}
+var _ jaygw.Observer = (*Scheduler)(nil)
+
+// WithoutInterference turns the reactions to interference off.
+func WithoutInterference() Option { return func(s *Scheduler) { s.withoutInterference = true } }
+
+// WithoutEstimates commits tasks with their declared sizes.
+func WithoutEstimates() Option { return func(s *Scheduler) { s.withoutEstimates = true } }
 
-// New returns a scheduler.
+// New returns a scheduler that has to observe the state machine that it decides
+// for.
 func New(options ...Option) *Scheduler {
-	s := &Scheduler{healthy: func(string) bool { return true }}
+	s := &Scheduler{}
 	for _, option := range options {
 		option(s)
 	}
+	s.Reset()
 	return s
 }
 
-// Decide returns the commands that the state calls for.
+// Decide returns the commands that the state calls for. They are to be proposed
+// in their order.
 func (s *Scheduler) Decide(machine *applier.Machine, now jaygw.Time) []jaygw.Command {
+	d := &decision{
+		Scheduler: s, machine: machine, state: machine.State(), now: now,
+		used: map[string]jaygw.Resources{}, granted: map[jaygw.TaskID]bool{}, evicted: map[jaygw.TaskID]bool{},
+	}
+	d.prepare()
+	d.leave()
+	d.react()
+	d.resize()
+	d.grantHeld()
+	for class := range 3 {
+		d.grantClass(class)
+	}
+	s.queue.PutBack(d.taken)
+	return d.commands()
+}
+
+func (d *decision) prepare() {
+	if d.stale {
+		d.rebuild(d.state)
+	}
+	d.index.ResetPlan()
+	if d.documents {
+		d.documents = false
+		d.shapes = map[shapeKey]*placer.Shape{}
+		d.queue.Refresh("")
+	}
+	if d.now.Sub(d.second) >= housekeeping {
+		d.second = d.now
+		d.housekeep()
+	}
+	d.queue.Advance(d.now)
+	d.unblock()
+}
+
+// housekeep does once per second what depends on the time alone.
+func (d *decision) housekeep() {
+	d.ramp()
+	d.weigh()
+	d.probe()
+	d.reserveForAged()
+	d.noteStuck()
+	d.interference.Forget(func(vm string) bool { return d.index.Node(vm) != nil }, d.now)
+	d.usage.Forget(d.now)
+}
+
+func (d *decision) commands() []jaygw.Command {
 	var commands []jaygw.Command
-	if evictions := s.evictions(machine); len(evictions) > 0 {
-		commands = append(commands, jaygw.Command{Evict: &jaygw.EvictTasks{Evictions: evictions}})
+	if len(d.evictions) > 0 {
+		commands = append(commands, jaygw.Command{Evict: &jaygw.EvictTasks{Evictions: d.evictions}})
+	}
+	if len(d.resizes) > 0 {
+		commands = append(commands, jaygw.Command{Resize: &jaygw.ResizeTasks{Resizes: d.resizes}})
 	}
-	if grants := s.grants(machine, now); len(grants) > 0 {
-		commands = append(commands, jaygw.Command{Grant: &jaygw.GrantTasks{Grants: grants}})
+	if len(d.grants) > 0 {
+		commands = append(commands, jaygw.Command{Grant: &jaygw.GrantTasks{Grants: d.grants}})
+	}
+	if len(d.notes) > 0 {
+		commands = append(commands, jaygw.Command{Note: &jaygw.NoteJobs{Notes: d.notes}})
 	}
 	return commands
 }
 
-// evictions stops the attempts on VMs that are leaving or in a domain that is
-// out.
-func (s *Scheduler) evictions(machine *applier.Machine) []jaygw.Eviction {
-	state := machine.State()
-	var evictions []jaygw.Eviction
-	for name, vm := range state.VMs {
-		domain := state.Domains[vm.Domain]
-		if !vm.Leaving && !domain.Out {
-			continue
-		}
-		for _, id := range machine.TasksOn(name) {
-			task := state.Tasks[id]
-			if task.State == jaygw.Granted || task.State == jaygw.Running {
-				evictions = append(evictions, jaygw.Eviction{Attempt: task.Attempt(), Reason: "failure domain " + vm.Domain + " is out"})
-			}
-		}
+// evict stops an attempt in this decision.
+func (d *decision) evict(task *jaygw.Task, reason string) {
+	if !d.evicted[task.ID] {
+		d.evicted[task.ID] = true
+		d.evictions = append(d.evictions, jaygw.Eviction{Attempt: task.Attempt(), Reason: reason})
 	}
-	return evictions
 }
 
-func (s *Scheduler) grants(machine *applier.Machine, now jaygw.Time) []jaygw.Grant {
-	state := machine.State()
-	var waiting []*jaygw.Task
-	for _, task := range state.Tasks {
-		if task.State == jaygw.Waiting && task.NotBefore <= now {
-			waiting = append(waiting, task)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *jaygw.Task) int {
-		return cmp.Or(cmp.Compare(a.Class.Priority(), b.Class.Priority()),
-			cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.ID, b.ID))
-	})
-	plan := newPlan(state, s.healthy)
-	var grants []jaygw.Grant
-	for _, task := range waiting {
-		if len(grants) == maxGrants {
-			break
-		}
-		vm := plan.place(task)
-		if vm == nil {
-			continue
-		}
-		grants = append(grants, jaygw.Grant{
-			Task: task.ID, After: task.Epoch, VM: vm.Name, Incarnation: vm.Incarnation, Reserve: task.Declared,
-		})
+// limits returns the limits of an environment's document in force.
+func (d *decision) limits(environment string) jaygw.Limits {
+	if e, ok := d.state.Environments[environment]; ok && e.InForce != nil {
+		return e.InForce.Document.Limits
 	}
-	return grants
+	return jaygw.Limits{}
 }
