--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test ci bench fuzz generate size capacity
+.PHONY: policy build test ci bench fuzz generate size capacity
 
 build:
 	go build -o bin/jaygw ./cmd/jaygw
@@ -27,3 +27,7 @@
 # Prints what each role costs at parts of the target size; see docs/CAPACITY.md.
 capacity:
 	go run ./cmd/jaygw-capacity
+
+# Prints the figures of the scheduling policies; JAYGW_SEED changes the seed.
+policy:
+	@go test -count=1 -timeout 20m -run '^TestPolicyTable$$' -v ./internal/load/experimenter
