Reserve no margin on sizes that are declared right

Cause: a peak equal to the declared size got the 15% margin as well, so such jobs used up their team's quota with 87% of the tasks. Change: a peak up to 5% above the declared amount counts without the margin.

--- a/internal/schedule/estimator/usage.go
+++ b/internal/schedule/estimator/usage.go
@@ -31,6 +31,11 @@
 	// marginPercent is added to the observed peak.
 	marginPercent = 15
 
+	// confirmPercent is how far above the declared amount a peak still confirms
+	// it. With the margin on such peaks, jobs that were declared right took 15%
+	// more of their quota.
+	confirmPercent = 5
+
 	// minSamples is how many samples raise a reservation: one may be a spike at
 	// the start.
 	minSamples = 3
@@ -123,17 +128,28 @@
 	if !ok || o.samples < minSamples {
 		return declared
 	}
+	below = below && o.samples >= minSamplesBelow
 	estimate := jaygw.Resources{
-		CPU:          max(1, o.stable.CPU*(100+marginPercent)/100),
-		Memory:       max(1, o.stable.Memory*(100+marginPercent)/100),
+		CPU:          withMargin(o.stable.CPU, declared.CPU, below),
+		Memory:       withMargin(o.stable.Memory, declared.Memory, below),
 		Accelerators: declared.Accelerators,
 	}
-	if !below || o.samples < minSamplesBelow {
-		estimate = estimate.Max(declared)
-	}
 	return estimate.Min(limit.Max(declared))
 }
 
+// withMargin returns the larger of the declared amount and the peak with its
+// margin. A peak near the declared amount confirms it and needs no margin.
+func withMargin[T ~int64](peak, declared T, below bool) T {
+	padded := max(1, peak*(100+marginPercent)/100)
+	switch {
+	case below:
+		return padded
+	case 100*peak <= (100+confirmPercent)*declared:
+		return max(peak, declared)
+	}
+	return max(padded, declared)
+}
+
 // Changed returns the owners whose estimates have changed since the last call.
 func (u *Usage) Changed() map[string]bool {
 	changed := u.changed
