--- a/internal/schedule/dispatcher/decider.go
+++ b/internal/schedule/dispatcher/decider.go
@@ -26,6 +26,7 @@
 		expiring  map[string]*expiry
 		silent    map[string]bool
 		idle      map[string]bool // no batch lease: a start could not be permitted
+		fresh     bool            // the leadership is new to the scheduler
 		notes     *notes
 	}
 
@@ -39,9 +40,6 @@
 )
 
 const (
-	failureBackoff    = 500 * time.Millisecond
-	maxFailureBackoff = 30 * time.Second
-
 	// removalSilence is how long a VM without tasks is remembered after its last
 	// renewal, unless it has announced that it leaves.
 	removalSilence = time.Hour
@@ -51,14 +49,13 @@
 var errExpiring = errors.New("the expiry of the VM's lease is not settled")
 
 func newDecider() *decider {
-	d := &decider{
-		expiring: map[string]*expiry{},
-		silent:   map[string]bool{},
-		idle:     map[string]bool{},
-		notes:    newNotes(),
-	}
-	d.scheduler = scheduler.New(scheduler.WithHealth(func(vm string) bool { return !d.silent[vm] && !d.idle[vm] }))
-	return d
+	return &decider{
+		expiring:  map[string]*expiry{},
+		silent:    map[string]bool{},
+		idle:      map[string]bool{},
+		scheduler: scheduler.New(),
+		notes:     newNotes(),
+	}
 }
 
 // lead starts or ends a leadership.
@@ -67,6 +64,7 @@
 	d.term = term
 	d.silent = map[string]bool{}
 	d.idle = map[string]bool{}
+	d.fresh = true
 	// What the last leadership proposed is either in the log before the first
 	// entry of the next one, or never committed; an answer is confirmed after it.
 	for name := range d.expiring {
@@ -111,6 +109,9 @@
 		return jaygw.ErrNotCurrent // the agent announces itself again
 	}
 	d.lessor.Heard(r.VM, now)
+	if len(r.Usage) > 0 {
+		d.scheduler.Observe(machine, r.VM, r.Usage, max(machine.State().Time, jaygw.TimeOf(now)))
+	}
 	return nil
 }
 
@@ -126,7 +127,7 @@
 		acknowledged = max(acknowledged, sequenced.Sequence)
 		task := state.Tasks[report.Attempt.Task]
 		if report.Kind == jaygw.AttemptFailed && task != nil {
-			report.NotBefore = state.Time.Add(backoff(task.Failures))
+			report.NotBefore = state.Time.Add(scheduler.Backoff(report.Attempt, task.Failures))
 		}
 		// An agent that has restarted reports every start again. Once a start is
 		// recorded, no later state of the same epoch lacks it.
@@ -141,10 +142,6 @@
 	return &jaygw.Command{Report: batch}, acknowledged
 }
 
-func backoff(failures int) time.Duration {
-	return min(failureBackoff<<min(failures, 10), maxFailureBackoff)
-}
-
 // answer builds the response to a renewal that arrived at a time, from a state
 // that a quorum has confirmed since.
 func (d *decider) answer(
@@ -165,6 +162,7 @@
 	if err := fill(&result, machine, r, now.Sub(arrived) < jaygw.PermitValidity); err != nil {
 		return jaygw.RenewalResult{}, err
 	}
+	result.Orders = append(result.Orders, d.scheduler.Orders(r.VM)...)
 	d.lessor.Granted(r.VM, now, terms)
 	return result, nil
 }
@@ -201,13 +199,22 @@
 		}
 	}
 	for _, attempt := range r.Known {
-		if !inForce[attempt] {
+		if !inForce[attempt] && !endReported(r.Reports, attempt) {
 			result.Orders = append(result.Orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionKill})
 		}
 	}
 	return nil
 }
 
+// endReported reports whether the renewal says that an attempt is over. The agent
+// forgets it with the response, and an order to kill it would make the agent stop
+// it and report it once more, without end.
+func endReported(reports []jaygw.SequencedReport, attempt jaygw.Attempt) bool {
+	return slices.ContainsFunc(reports, func(r jaygw.SequencedReport) bool {
+		return r.Report.Attempt == attempt && r.Report.Kind != jaygw.Started && r.Report.Kind != jaygw.Checkpointed
+	})
+}
+
 func permit(task *jaygw.Task) jaygw.Permit {
 	p := jaygw.Permit{
 		Attempt: task.Attempt(), Kind: task.Kind, Class: task.Class, Size: task.Reserved,
@@ -225,6 +232,10 @@
 	if !d.leads {
 		return nil
 	}
+	if d.fresh {
+		d.scheduler.Reset()
+		d.fresh = false
+	}
 	state := machine.State()
 	d.updateLiveness(state, now)
 	var commands []jaygw.Command
@@ -246,7 +257,11 @@
 			commands = append(commands, jaygw.Command{RemoveVM: &jaygw.RemoveVM{Name: name}})
 		}
 	}
-	return append(commands, d.scheduler.Decide(machine, max(state.Time, jaygw.TimeOf(now)))...)
+	commands = append(commands, d.scheduler.Decide(machine, max(state.Time, jaygw.TimeOf(now)))...)
+	for _, vm := range d.scheduler.ChangedOrders() {
+		d.notes.vm(vm)
+	}
+	return commands
 }
 
 // over returns the kinds of a VM's tasks whose lease has ended.
@@ -301,11 +316,13 @@
 func (d *decider) updateLiveness(state *applier.State, now time.Time) {
 	changed := false
 	for name := range state.VMs {
-		d.idle[name] = d.lessor.Over(name, jaygw.BatchTask, now)
+		idle := d.lessor.Over(name, jaygw.BatchTask, now)
 		silent := d.lessor.Silent(name, now)
-		if silent != d.silent[name] {
+		if idle != d.idle[name] || silent != d.silent[name] {
+			changed = changed || silent != d.silent[name]
+			d.idle[name] = idle
 			d.silent[name] = silent
-			changed = true
+			d.scheduler.SetSilent(name, silent || idle)
 		}
 	}
 	if changed {
