Measure the tour's batch job from its start to its end

Cause: the tour waited for the failure domain before it looked at the job, so the throughput was that of the waiting time. Change: the job is watched beside the domain's move; 800 tasks in place of 400.

--- a/internal/daemon/guide/guide.go
+++ b/internal/daemon/guide/guide.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -78,19 +79,16 @@
 	requests := newRequester(g.estate.Callers, g.plan)
 	requestsCtx, stopRequests := context.WithCancel(ctx)
 	defer stopRequests()
-	var group errgroup.Group
-	group.Go(func() error { requests.run(requestsCtx); return nil })
-
+	var callers, job errgroup.Group
+	callers.Go(func() error { requests.run(requestsCtx); return nil })
+	job.Go(func() (err error) {
+		report.Job, err = g.finishJob(ctx)
+		report.JobTime = time.Since(started)
+		return err
+	})
 	outage, err := g.moveDomain(ctx)
-	if err != nil {
-		return report, err
-	}
-	if report.Job, err = g.finishJob(ctx); err != nil {
-		return report, err
-	}
-	report.JobTime = time.Since(started)
 	stopRequests()
-	if err := group.Wait(); err != nil {
+	if err := errors.Join(err, job.Wait(), callers.Wait()); err != nil {
 		return report, err
 	}
 	report.Requests = requests.report()
--- a/internal/operator/commander/daemons.go
+++ b/internal/operator/commander/daemons.go
@@ -143,7 +143,7 @@
 	return guide.Plan{
 		Document: document,
 		Job: jaygw.JobSpec{
-			Name: "tour", Environment: document.Environment, Team: team.Name, Tasks: 400,
+			Name: "tour", Environment: document.Environment, Team: team.Name, Tasks: 800,
 			Resources: jaygw.Resources{CPU: 2 * jaygw.Core, Memory: 6 * jaygw.GB}, RunTime: jaygw.Duration(2 * time.Second),
 		},
 		Service: service.Name, PerSecond: 200, Work: 2 * time.Millisecond,
--- /dev/null
+++ b/internal/test/whole/estate_test.go
@@ -0,0 +1,234 @@
+package whole
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/operator/client"
+	"github.com/jaygw/jaygw/internal/operator/responder"
+	"github.com/jaygw/jaygw/internal/platform/emulator"
+	"github.com/stretchr/testify/require"
+)
+
+type (
+	// estate is a whole installation as processes on loopback. The stand-in
+	// workers run in the test, so that what they recorded outlives every process.
+	estate struct {
+		t       *testing.T
+		binary  string
+		folder  string
+		members []jaygw.Member
+		entries []*daemon
+		agents  []*daemon
+		workers []*worker
+	}
+
+	// daemon is one process and how to start it again.
+	daemon struct {
+		settings jaygw.Settings
+		role     jaygw.Role
+		file     string
+		process  *exec.Cmd
+		ended    chan error
+	}
+
+	// worker is a stand-in worker that counts what it executes.
+	worker struct {
+		domain string
+		server *httptest.Server
+		tasks  *emulator.Worker
+
+		mu       sync.Mutex
+		executed map[string]int // by request id
+	}
+)
+
+const (
+	estateEntries = 3
+	estateAgents  = 11
+	perRack       = 3
+)
+
+var domainNames = []string{"north", "south", "east"}
+
+func newEstate(t *testing.T) *estate {
+	t.Helper()
+	e := &estate{t: t, binary: build(t), folder: t.TempDir()}
+	for i := range estateEntries {
+		e.members = append(e.members, jaygw.Member{
+			ID: uint64(i + 1), Name: fmt.Sprintf("entry-%d", i+1), Address: freeAddress(t), Domain: domainNames[i], Voter: true,
+		})
+	}
+	for i := range estateEntries {
+		e.entries = append(e.entries, e.newEntry(i))
+	}
+	for i := range estateAgents {
+		e.agents = append(e.agents, e.newAgent(i))
+	}
+	for _, d := range e.daemons() {
+		e.start(d)
+	}
+	t.Cleanup(func() {
+		for _, d := range e.daemons() {
+			e.kill(d)
+		}
+	})
+	return e
+}
+
+func (e *estate) daemons() []*daemon { return append(append([]*daemon{}, e.entries...), e.agents...) }
+
+func (e *estate) newEntry(number int) *daemon {
+	member := e.members[number]
+	folder := filepath.Join(e.folder, member.Name)
+	require.NoError(e.t, os.MkdirAll(folder, 0o750))
+	return &daemon{role: jaygw.RoleEntry, settings: jaygw.Settings{
+		Name: member.Name, Group: jaygw.DefaultGroup, Region: "province", Domain: member.Domain, Rack: member.Domain + "-r0",
+		Listen: jaygw.Listen{Callers: freeAddress(e.t), Operators: freeAddress(e.t), Processes: member.Address},
+		Peers:  e.addressesExcept(number),
+		Control: &jaygw.ControlSettings{
+			ID: member.ID, DataFolder: folder, Members: e.members,
+		},
+		Limits: jaygw.RequestLimits{BalancerWait: jaygw.Duration(100 * time.Millisecond)},
+		Log:    jaygw.LogSettings{Level: "warning"},
+	}}
+}
+
+func (e *estate) addressesExcept(number int) []string {
+	var addresses []string
+	for i, member := range e.members {
+		if i != number {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+func (e *estate) newAgent(number int) *daemon {
+	rack := number / perRack
+	domain := domainNames[rack%len(domainNames)]
+	size := jaygw.Resources{CPU: 16 * jaygw.Core, Memory: 62 * jaygw.GB}
+	w := &worker{domain: domain, tasks: emulator.New(size), executed: map[string]int{}}
+	w.server = httptest.NewServer(w.counting(w.tasks.Handler()))
+	e.t.Cleanup(w.server.Close)
+	e.workers = append(e.workers, w)
+	return &daemon{role: jaygw.RoleAgent, settings: jaygw.Settings{
+		Name: fmt.Sprintf("vm-%02d", number+1), Group: jaygw.DefaultGroup, Region: "province", Domain: domain,
+		Rack:   fmt.Sprintf("%s-r%d", domain, rack/len(domainNames)+1),
+		Listen: jaygw.Listen{Processes: freeAddress(e.t)},
+		Peers:  e.addressesExcept(-1),
+		Worker: &jaygw.WorkerSettings{Address: w.server.Listener.Addr().String(), Size: size, Slots: 8, Connections: 64},
+		Log:    jaygw.LogSettings{Level: "warning"},
+	}}
+}
+
+// counting counts the requests of services by their id.
+func (w *worker) counting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(requestHeader); id != "" {
+			w.mu.Lock()
+			w.executed[id]++
+			w.mu.Unlock()
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
+func (e *estate) start(d *daemon) {
+	e.t.Helper()
+	data, err := json.MarshalIndent(d.settings, "", "  ")
+	require.NoError(e.t, err)
+	d.file = filepath.Join(e.folder, d.settings.Name+".json")
+	require.NoError(e.t, os.WriteFile(d.file, data, 0o600))
+	d.process = exec.Command(e.binary, string(d.role), "--settings", d.file)
+	d.process.Stdout = os.Stderr
+	d.process.Stderr = os.Stderr
+	require.NoError(e.t, d.process.Start())
+	d.ended = make(chan error, 1)
+	go func(process *exec.Cmd, ended chan error) { ended <- process.Wait() }(d.process, d.ended)
+}
+
+func (e *estate) kill(d *daemon) {
+	if d.process == nil {
+		return
+	}
+	_ = d.process.Process.Kill()
+	<-d.ended
+	d.process = nil
+}
+
+// terminate asks for a graceful end and returns how the process ended.
+func (e *estate) terminate(d *daemon) error {
+	require.NoError(e.t, d.process.Process.Signal(syscall.SIGTERM))
+	defer func() { d.process = nil }()
+	return <-d.ended
+}
+
+func (e *estate) signal(d *daemon, s syscall.Signal) {
+	require.NoError(e.t, d.process.Process.Signal(s))
+}
+
+// operator returns a client of the first entry that answers.
+func (e *estate) operator(ctx context.Context) *client.Client {
+	for ctx.Err() == nil {
+		for _, d := range e.entries {
+			if d.process == nil {
+				continue
+			}
+			c := client.New(d.settings.Listen.Operators)
+			short, cancel := context.WithTimeout(ctx, 2*time.Second)
+			_, err := c.Status(short)
+			cancel()
+			if err == nil {
+				return c
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.NoError(e.t, ctx.Err(), "no entry answers operators")
+	return nil
+}
+
+// wait waits until the status shows a state.
+func (e *estate) wait(ctx context.Context, what string, reached func(responder.StatusResponse) bool) {
+	e.t.Helper()
+	for ctx.Err() == nil {
+		if status, err := e.operator(ctx).Status(ctx); err == nil && reached(status) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(e.t, "the estate did not reach the state: "+what)
+}
+
+// leader returns the entry whose replica leads.
+func (e *estate) leader(ctx context.Context) int {
+	status, err := e.operator(ctx).Status(ctx)
+	require.NoError(e.t, err)
+	for i, member := range e.members {
+		if member.ID == status.Replica.Leader {
+			return i
+		}
+	}
+	return 0
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/internal/test/whole/faults_test.go
@@ -0,0 +1,240 @@
+package whole
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/checker"
+	"github.com/jaygw/jaygw/internal/operator/responder"
+	"github.com/jaygw/jaygw/internal/platform/emulator"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	faultsLimit    = 4 * time.Minute
+	startsAfterOut = 3 * time.Second
+	pastBatchLease = 13 * time.Second
+	seed           = 20261204
+)
+
+// away is the time that a failure domain was out, by the test's clock: from the
+// response to the command to the sending of the next one.
+type away struct {
+	domain   string
+	from, to time.Time
+}
+
+// Every promise has to hold at the upstreams and workers while processes are
+// killed, stopped and restarted and a failure domain leaves and returns.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), faultsLimit)
+	defer cancel()
+	e := newEstate(t)
+	document := testDocument()
+	e.promote(ctx, document)
+
+	requests := newCallers(e, seed)
+	callersCtx, stopCallers := context.WithCancel(ctx)
+	defer stopCallers()
+	var group sync.WaitGroup
+	for i := range 4 {
+		group.Go(func() { requests.run(callersCtx, fmt.Sprintf("caller-%d", i)) })
+	}
+
+	jobs := []string{e.submitJob(ctx, "impose-1", 60)}
+	e.restartAgent(0)
+	e.restartLeader(ctx)
+	jobs = append(jobs, e.submitJob(ctx, "impose-2", 60))
+	paused := e.pauseAgent(4)
+	gone := e.moveDomain(ctx, "south")
+	jobs = append(jobs, e.submitJob(ctx, "impose-3", 30))
+	for _, job := range jobs {
+		e.finishJob(ctx, job)
+	}
+	stopCallers()
+	group.Wait()
+
+	status, err := e.operator(ctx).Status(ctx)
+	require.NoError(t, err)
+	require.Equal(t, checker.Digest(document), status.Environments[0].InForce.Digest)
+	for _, d := range e.daemons() {
+		require.NoError(t, e.terminate(d), d.settings.Name)
+	}
+	e.checkTasks(150, gone, paused)
+	e.checkRequests(requests)
+}
+
+func testDocument() jaygw.Document {
+	quota := jaygw.Resources{CPU: 500 * jaygw.Core, Memory: 900 * jaygw.GB}
+	document := jaygw.Document{
+		Environment: "proofing", Number: 1, Author: "test",
+		Teams: []jaygw.TeamSpec{{Name: "prepress", Quota: quota}},
+		Services: []jaygw.ServiceSpec{{
+			Name: "preview", Team: "prepress", Class: jaygw.LatencyCritical, Replicas: 8,
+			Resources: jaygw.Resources{CPU: 2 * jaygw.Core, Memory: 4 * jaygw.GB}, Timeout: jaygw.Duration(2 * time.Second),
+		}},
+	}
+	for _, name := range domainNames {
+		document.Domains = append(document.Domains, jaygw.DomainSpec{Name: name, Region: "province"})
+	}
+	return document
+}
+
+func (e *estate) promote(ctx context.Context, document jaygw.Document) {
+	e.t.Helper()
+	operator := e.operator(ctx)
+	submitted, err := operator.Submit(ctx, document, "test")
+	require.NoError(e.t, err)
+	require.Nil(e.t, submitted.Refusal)
+	promoted, err := operator.Promote(ctx, document.Environment, submitted.Digest, "test")
+	require.NoError(e.t, err)
+	require.Nil(e.t, promoted.Refusal)
+	e.wait(ctx, "all replicas of the service run", func(s responder.StatusResponse) bool {
+		return s.Tasks[string(jaygw.Running)] >= document.Services[0].Replicas
+	})
+}
+
+func (e *estate) submitJob(ctx context.Context, name string, tasks int) string {
+	e.t.Helper()
+	response, err := e.operator(ctx).SubmitJob(ctx, jaygw.JobSpec{
+		Name: name, Environment: "proofing", Team: "prepress", Tasks: tasks,
+		Resources: jaygw.Resources{CPU: 3 * jaygw.Core, Memory: 8 * jaygw.GB}, RunTime: jaygw.Duration(2 * time.Second),
+	})
+	require.NoError(e.t, err)
+	require.Nil(e.t, response.Refusal)
+	return name
+}
+
+func (e *estate) finishJob(ctx context.Context, name string) {
+	e.t.Helper()
+	for ctx.Err() == nil {
+		if job, err := e.operator(ctx).Job(ctx, "proofing", name); err == nil && job.State != jaygw.JobActive {
+			require.Equal(e.t, jaygw.JobDone, job.State, job.Reason)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(e.t, "job "+name+" has not ended")
+}
+
+func (e *estate) restartAgent(number int) {
+	e.kill(e.agents[number])
+	time.Sleep(time.Second)
+	e.start(e.agents[number])
+}
+
+func (e *estate) restartLeader(ctx context.Context) {
+	leader := e.entries[e.leader(ctx)]
+	e.kill(leader)
+	time.Sleep(time.Second)
+	e.start(leader)
+}
+
+// pause is the time that an agent could not report.
+type pause struct {
+	worker   *worker
+	from, to time.Time
+}
+
+// pauseAgent stops an agent past its batch lease and continues it.
+func (e *estate) pauseAgent(number int) pause {
+	p := pause{worker: e.workers[number], from: time.Now()}
+	e.signal(e.agents[number], syscall.SIGSTOP)
+	time.Sleep(pastBatchLease)
+	e.signal(e.agents[number], syscall.SIGCONT)
+	p.to = time.Now()
+	return p
+}
+
+// covers reports whether a run ended while its agent could not report it. Nobody
+// outside that VM can know that the task was done, so once the lease has ended
+// the task runs again, and the job counts one completion.
+func (p pause) covers(w *worker, run emulator.Run) bool {
+	return w == p.worker && run.End.After(p.from) && run.End.Before(p.to)
+}
+
+func (e *estate) moveDomain(ctx context.Context, name string) away {
+	e.t.Helper()
+	response, err := e.operator(ctx).SetDomain(ctx, name, true)
+	require.NoError(e.t, err)
+	require.Nil(e.t, response.Refusal)
+	gone := away{domain: name, from: time.Now()}
+	time.Sleep(2 * startsAfterOut)
+	gone.to = time.Now()
+	_, err = e.operator(ctx).SetDomain(ctx, name, false)
+	require.NoError(e.t, err)
+	return gone
+}
+
+// checkTasks checks what the workers ran.
+func (e *estate) checkTasks(tasks int, gone away, paused pause) {
+	type placed struct {
+		emulator.Run
+		worker *worker
+	}
+	var runs []placed
+	for _, w := range e.workers {
+		for _, run := range w.tasks.History() {
+			runs = append(runs, placed{run, w})
+		}
+	}
+
+	slices.SortFunc(runs, func(a, b placed) int { return a.Start.Compare(b.Start) })
+	last := map[jaygw.TaskID]placed{}
+	completed := map[jaygw.TaskID]int{}
+	batch := 0
+	for _, run := range runs {
+		id := run.Attempt.Task
+		if before, ok := last[id]; ok {
+			require.False(e.t, before.End.IsZero() || before.End.After(run.Start), "task %s ran in two places at once", id)
+			require.Zero(e.t, completed[id], "task %s started again after it had completed", id)
+		}
+		if _, known := last[id]; !known && run.Kind == jaygw.BatchTask {
+			batch++
+		}
+		last[id] = run
+		if run.Complete && !paused.covers(run.worker, run.Run) {
+			completed[id]++
+		}
+		if run.worker.domain == gone.domain {
+			late := run.Start.After(gone.from.Add(startsAfterOut)) && run.Start.Before(gone.to)
+			require.False(e.t, late, "task %s started %s after its domain was taken out", id, run.Start.Sub(gone.from))
+		}
+	}
+	require.Equal(e.t, tasks, batch, "batch tasks that ran")
+	for id, times := range completed {
+		require.Equal(e.t, 1, times, "completions of task %s", id)
+	}
+}
+
+// checkRequests compares what callers were told with what the upstreams executed.
+func (e *estate) checkRequests(c *callers) {
+	executed := map[string]int{}
+	for _, w := range e.workers {
+		w.mu.Lock()
+		for id, times := range w.executed {
+			executed[id] += times
+		}
+		w.mu.Unlock()
+	}
+	answered := 0
+	for _, r := range c.told {
+		require.LessOrEqual(e.t, executed[r.id], 1, "request %s ran more than once", r.id)
+		if r.answered {
+			answered++
+			require.True(e.t, r.own, "request %s got the response to another one", r.id)
+			require.Equal(e.t, 1, executed[r.id], "request %s was answered", r.id)
+		}
+		if r.refused {
+			require.Zero(e.t, executed[r.id], "request %s was refused as not executed", r.id)
+		}
+	}
+	require.Positive(e.t, answered)
+	e.t.Logf("%d requests, %d answered", len(c.told), answered)
+}
