Measure the scheduler's index, decisions and waves of starts

Cause: make capacity left out the scheduler, which holds an index of its own. Change: four rows more in the survey.

--- a/internal/load/surveyor/estate.go
+++ b/internal/load/surveyor/estate.go
@@ -67,6 +67,20 @@
 	return r.machine.Apply(r.index, command), nil
 }
 
+// propose applies commands in turn. A refusal of a whole command is an error.
+func (r *replica) propose(commands ...jaygw.Command) error {
+	for _, command := range commands {
+		result, err := r.Propose(context.Background(), command)
+		if err == nil {
+			err = result.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Confirm returns the applied index.
 func (r *replica) Confirm(context.Context) (jaygw.Index, error) { return r.index, nil }
 
@@ -93,14 +107,8 @@
 	for i := 0; i*jobTasks < size.Batch; i++ {
 		commands = append(commands, jaygw.Command{SubmitJob: &jaygw.SubmitJob{Spec: jobOf(i, size)}})
 	}
-	for _, command := range commands {
-		result, err := r.Propose(context.Background(), command)
-		if err == nil {
-			err = result.Err()
-		}
-		if err != nil {
-			return nil, eris.Wrap(err, "build the estate")
-		}
+	if err := r.propose(commands...); err != nil {
+		return nil, eris.Wrap(err, "build the estate")
 	}
 	return r, r.start(size)
 }
--- a/internal/load/surveyor/survey.go
+++ b/internal/load/surveyor/survey.go
@@ -9,7 +9,9 @@
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/executor"
+	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
+	"github.com/jaygw/jaygw/internal/schedule/scheduler"
 	"github.com/jaygw/jaygw/internal/wire/converter"
 	"github.com/jaygw/jaygw/internal/wire/encoder"
 	"github.com/rotisserie/eris"
@@ -27,12 +29,17 @@
 		CopyTime      time.Duration // of the tables, while apply waits
 		EncodeTime    time.Duration // beside apply
 
-		StartCPU   time.Duration // grant, start report and completion of one task at one replica
-		StartBytes float64       // of their log entries
-		ChangeCPU  time.Duration // submission and promotion of one document at one replica
-		RenewalCPU time.Duration // one renewal at the leader
-		ViewBytes  float64       // a whole view
-		ViewCPU    time.Duration // building and encoding a whole view
+		StartCPU    time.Duration // grant, start report and completion of one task at one replica
+		StartBytes  float64       // of their log entries
+		ChangeCPU   time.Duration // submission and promotion of one document at one replica
+		RenewalCPU  time.Duration // one renewal at the leader
+		IndexBytes  float64       // live heap of the scheduler's index
+		DecisionCPU time.Duration // one decision while nothing changes
+		GrantCPU    time.Duration // decision and commit of one start in a wave
+		DomainTime  time.Duration // first decision after a failure domain was taken out
+
+		ViewBytes float64       // a whole view
+		ViewCPU   time.Duration // building and encoding a whole view
 
 		TasksPerVM     int
 		AgentCPU       time.Duration // one renewal at the agent
@@ -47,6 +54,9 @@
 	renewals    = 5000
 	documents   = 20
 	agentRounds = 2000
+
+	// decisionInterval is the dispatcher's tick.
+	decisionInterval = 50 * time.Millisecond
 )
 
 // Run measures one estate size.
@@ -64,7 +74,7 @@
 	scheduling.Serve(r)
 	scheduling.Lead(1, true, time.Now())
 	for _, measure := range []func(*replica) error{
-		s.snapshot, s.starts, s.changes,
+		s.snapshot, s.decisions, s.starts, s.changes,
 		func(r *replica) error { return s.renewals(r, scheduling) },
 		func(r *replica) error { return s.view(r, scheduling) },
 		s.agent,
@@ -88,6 +98,52 @@
 	return err
 }
 
+// decisions measures the scheduler: at rest, in a wave of starts, and when a
+// failure domain leaves. It works on a state machine that holds the same state.
+func (s *Survey) decisions(r *replica) error {
+	data, err := r.machine.Snapshot()()
+	if err != nil {
+		return err
+	}
+	copied := &replica{machine: applier.New(jaygw.DefaultGroup), index: r.index, now: r.now}
+	if err := copied.machine.Restore(data); err != nil {
+		return err
+	}
+	before := liveHeap()
+	decider := scheduler.New()
+	copied.machine.Observe(decider)
+	decider.Decide(copied.machine, copied.now)
+	s.IndexBytes = liveHeap() - before
+
+	cpu := cpuTime()
+	for range rounds {
+		copied.now = copied.now.Add(decisionInterval)
+		decider.Decide(copied.machine, copied.now)
+	}
+	s.DecisionCPU = (cpuTime() - cpu) / rounds
+
+	spec := jobOf(0, s.Size)
+	spec.Name, spec.Tasks = "wave", rounds
+	if err := copied.propose(jaygw.Command{SubmitJob: &jaygw.SubmitJob{Spec: spec}}); err != nil {
+		return err
+	}
+	cpu = cpuTime()
+	for range 2 { // a decision grants at most 256 tasks
+		if err := copied.propose(decider.Decide(copied.machine, copied.now)...); err != nil {
+			return err
+		}
+	}
+	s.GrantCPU = (cpuTime() - cpu) / rounds
+
+	if err := copied.propose(jaygw.Command{SetDomain: &jaygw.SetDomain{Name: documentOf(s.Size).Domains[0].Name, Out: true}}); err != nil {
+		return err
+	}
+	start := time.Now()
+	decider.Decide(copied.machine, copied.now)
+	s.DomainTime = time.Since(start)
+	return nil
+}
+
 // starts measures one more job of short tasks from its grants to its end.
 func (s *Survey) starts(r *replica) error {
 	ctx := context.Background()
@@ -136,11 +192,7 @@
 			{Submit: &jaygw.SubmitDocument{Document: document, Digest: digest}},
 			{Promote: &jaygw.PromoteDocument{Environment: environment, Digest: digest}},
 		} {
-			result, err := r.Propose(context.Background(), command)
-			if err != nil {
-				return err
-			}
-			if err := result.Err(); err != nil {
+			if err := r.propose(command); err != nil {
 				return err
 			}
 		}
