Place noisy work by its measured effect per task

Cause: effects were kept per owner, however many tasks ran, and only weighed in the score; and moves of replicas, which slow the remaining ones, were blamed on batch work. Change: fit the rise of a service's latency per task; keep a task away from a VM where the estimated rise would pass 15%, for up to 10 minutes; ignore the latencies of a service while replicas are missing. The wave still starts at full size before the first report.

--- a/internal/schedule/estimator/interference.go
+++ b/internal/schedule/estimator/interference.go
@@ -10,29 +10,32 @@
 )
 
 type (
-	// Interference estimates by how much a batch owner's tasks raise a service's
-	// tail latency on the same VM. It fits the logarithm of latency over
-	// baseline as the sum of the effects of the owners that ran there, so that a
-	// quiet owner is not blamed for its noisy neighbor. It is not safe for
-	// concurrent use.
+	// Interference estimates by how much one task of a batch owner raises a
+	// service's tail latency on the same VM, as a share of the baseline. It fits
+	// the rise as the sum over the tasks that ran there, so that a quiet owner is
+	// not blamed for its noisy neighbor. It is not safe for concurrent use.
 	Interference struct {
 		pairs     map[pair]*effect
 		baselines map[string]*baseline
 		vms       map[string]*history
+		noisy     map[string]bool // owners with an effect above noisyEffect
 	}
 
 	pair struct{ service, owner string }
 
 	effect struct {
-		value  float64 // of the logarithm
+		value  float64 // of one task
 		weight float64 // decayed number of samples
 		at     jaygw.Time
 	}
 
-	// baseline keeps the lower end of a service's latencies.
-	baseline struct {
-		log     float64
-		samples int
+	// baseline is a service's latency without batch work.
+	baseline struct{ seconds float64 }
+
+	// group is the tasks of one owner that ran on a VM.
+	group struct {
+		owner string
+		tasks int
 	}
 
 	// history is which owners' tasks were on a VM, and when.
@@ -58,21 +61,28 @@
 	// confidentAfter is the number of samples with a confidence of one half.
 	confidentAfter = 3
 
-	// The baseline follows lower latencies quickly and higher ones slowly.
-	baselineDown = 0.3
-	baselineUp   = 0.005
+	// The baseline follows samples without batch work, and lower ones with it;
+	// it rises slowly otherwise, so that a lasting change is learned at last.
+	baselineAlone = 0.1
+	baselineDown  = 0.1
+	baselineUp    = 0.002
 
 	// historyKept is longer than any lag of a report.
 	historyKept = 2 * time.Minute
 
-	// maxLog bounds one sample, so that one outlier does not decide.
-	maxLog = 2.0
+	// noisyEffect is the effect of one task from which on the owner's tasks are
+	// placed by it.
+	noisyEffect = 0.03
+
+	// maxRise bounds one sample, so that one outlier does not decide.
+	maxRise = 5.0
 )
 
 // NewInterference returns an estimator that has seen nothing.
 func NewInterference() *Interference {
 	return &Interference{
 		pairs: map[pair]*effect{}, baselines: map[string]*baseline{}, vms: map[string]*history{},
+		noisy: map[string]bool{},
 	}
 }
 
@@ -106,41 +116,44 @@
 	if latency <= 0 {
 		return 1
 	}
-	value := math.Log(latency.Seconds())
+	value := latency.Seconds()
 	b, ok := i.baselines[service]
 	if !ok {
-		b = &baseline{log: value}
+		b = &baseline{seconds: value}
 		i.baselines[service] = b
 	}
-	b.samples++
-	owners := i.ranAt(vm, at)
-	if value < b.log {
-		b.log += baselineDown * (value - b.log)
-	} else if len(owners) == 0 {
-		b.log += baselineUp * 10 * (value - b.log)
-	} else {
-		b.log += baselineUp * (value - b.log)
-	}
-	rise := min(max(value-b.log, 0), maxLog)
-	i.learn(service, owners, rise, now)
-	return math.Exp(rise)
+	groups := i.ranAt(vm, at)
+	switch {
+	case len(groups) == 0:
+		b.seconds += baselineAlone * (value - b.seconds)
+	case value < b.seconds:
+		b.seconds += baselineDown * (value - b.seconds)
+	default:
+		b.seconds += baselineUp * (min(value, 2*b.seconds) - b.seconds)
+	}
+	rise := min(value/b.seconds-1, maxRise)
+	i.learn(service, groups, rise, now)
+	return 1 + rise
 }
 
-func (i *Interference) learn(service string, owners []string, rise float64, now jaygw.Time) {
-	if len(owners) == 0 {
-		return
-	}
-	expected := 0.0
-	effects := make([]*effect, len(owners))
-	for k, owner := range owners {
-		e := i.effect(pair{service, owner}, now)
-		effects[k] = e
-		expected += e.value
-	}
-	step := learningRate * (rise - expected) / float64(len(owners))
-	for _, e := range effects {
-		e.value = max(0, e.value+step*max(1, 4/(1+e.weight)))
+// learn moves the effects towards the sample, each by its part in the prediction
+// (normalized least mean squares).
+func (i *Interference) learn(service string, groups []group, rise float64, now jaygw.Time) {
+	expected, norm := 0.0, 0.0
+	effects := make([]*effect, len(groups))
+	for k, g := range groups {
+		effects[k] = i.effect(pair{service, g.owner}, now)
+		expected += effects[k].value * float64(g.tasks)
+		norm += float64(g.tasks * g.tasks)
+	}
+	for k, g := range groups {
+		e := effects[k]
+		rate := max(learningRate, 1/(1+e.weight))
+		e.value = max(0, e.value+rate*(rise-expected)*float64(g.tasks)/norm)
 		e.weight++
+		if e.value >= noisyEffect {
+			i.noisy[g.owner] = true
+		}
 	}
 }
 
@@ -156,22 +169,28 @@
 	return e
 }
 
-func (i *Interference) ranAt(vm string, at jaygw.Time) []string {
+func (i *Interference) ranAt(vm string, at jaygw.Time) []group {
 	h, ok := i.vms[vm]
 	if !ok {
 		return nil
 	}
-	var owners []string
+	var groups []group
 	for _, s := range h.spans {
-		if s.from <= at && (s.till == 0 || s.till > at) && !slices.Contains(owners, s.owner) {
-			owners = append(owners, s.owner)
+		if s.from > at || s.till != 0 && s.till <= at {
+			continue
 		}
+		k := slices.IndexFunc(groups, func(g group) bool { return g.owner == s.owner })
+		if k < 0 {
+			groups = append(groups, group{owner: s.owner})
+			k = len(groups) - 1
+		}
+		groups[k].tasks++
 	}
-	return owners
+	return groups
 }
 
-// Effect returns the rise of the service's latency that the owner's tasks cause,
-// as the logarithm of a factor, times the confidence in it.
+// Effect returns the rise of the service's latency that one task of the owner
+// causes, as a share of the baseline, times the confidence in it.
 func (i *Interference) Effect(service, owner string, now jaygw.Time) float64 {
 	e, ok := i.pairs[pair{service, owner}]
 	if !ok {
@@ -186,6 +205,7 @@
 	for p, e := range i.pairs {
 		if now.Sub(e.at) > 6*effectHalfLife {
 			delete(i.pairs, p)
+			delete(i.noisy, p.owner)
 		}
 	}
 	for vm := range i.vms {
@@ -195,13 +215,13 @@
 	}
 }
 
-// Worst returns the owners in the order of their effect on the service, the
-// largest first, without those below the floor.
-func (i *Interference) Worst(service string, owners []string, floor float64, now jaygw.Time) []string {
+// Worst returns the owners in the order of the effect that their tasks have on
+// the service, the largest first, without those below the floor.
+func (i *Interference) Worst(service string, tasks map[string]int, floor float64, now jaygw.Time) []string {
 	effects := map[string]float64{}
 	var worst []string
-	for _, owner := range owners {
-		if e := i.Effect(service, owner, now); e >= floor {
+	for owner, count := range tasks {
+		if e := float64(count) * i.Effect(service, owner, now); e >= floor {
 			effects[owner] = e
 			worst = append(worst, owner)
 		}
@@ -212,6 +232,9 @@
 	return worst
 }
 
+// Noisy reports whether tasks of the owner have an effect on any service.
+func (i *Interference) Noisy(owner string) bool { return i.noisy[owner] }
+
 func decay(elapsed, halfLife time.Duration) float64 {
 	if elapsed <= 0 {
 		return 1
--- a/internal/schedule/placer/find.go
+++ b/internal/schedule/placer/find.go
@@ -25,6 +25,10 @@
 	// few dozen is close to the best of all, and the cost stays constant.
 	maxCandidates = 32
 
+	// maxRefused bounds the VMs per domain that are passed over because of their
+	// cost.
+	maxRefused = 64
+
 	// minPerDomain lets every domain take part in the choice.
 	minPerDomain = 2
 
@@ -52,11 +56,12 @@
 			continue
 		}
 		d := x.domains[name]
-		left := perDomain
+		left, refused := perDomain, maxRefused
 		d.tree.visit(r.Size, int(r.Seed>>1)%max(1, d.tree.used), func(n *Node) bool {
 			score := x.score(n, &r)
 			if score == Never {
-				return true
+				refused--
+				return refused > 0
 			}
 			if best == nil || score < bestScore || score == bestScore && n.VM.Name < best.VM.Name {
 				best, bestScore = n, score
--- a/internal/schedule/placer/queue.go
+++ b/internal/schedule/placer/queue.go
@@ -43,6 +43,7 @@
 		Size     jaygw.Resources
 		Domains  []string
 		MayStart []string
+		Noisy    bool // of one owner that is kept away from services
 		Blocked  bool // fits nowhere until more is free
 		// NextSearch is when to look again for batch work that gives way.
 		NextSearch jaygw.Time
--- a/internal/schedule/scheduler/observe.go
+++ b/internal/schedule/scheduler/observe.go
@@ -21,6 +21,8 @@
 	s.rates = map[string]*rate{}
 	s.controls = map[string]*control{}
 	s.reported = map[string]bool{}
+	s.absent = map[string]int{}
+	s.complete = map[string]jaygw.Time{}
 	s.ordersFor = map[string]bool{}
 	s.silent = map[string]bool{}
 	s.stuck = map[string]string{}
@@ -34,6 +36,7 @@
 	s.index = placer.NewIndex()
 	s.queue = placer.NewQueue()
 	s.holds = map[jaygw.TaskID]*hold{}
+	s.absent = map[string]int{}
 	s.stale = false
 	for _, domain := range state.Domains {
 		s.index.SetDomain(domain)
@@ -42,6 +45,7 @@
 		s.addVM(state.VMs[name])
 	}
 	for _, task := range state.Tasks {
+		s.countAbsent(nil, task)
 		switch {
 		case task.State == jaygw.Waiting:
 			s.queue.Add(task)
@@ -59,6 +63,7 @@
 	if s.stale {
 		return
 	}
+	s.countAbsent(before, after)
 	held := before != nil && before.State.Holds()
 	holds := after != nil && after.State.Holds()
 	if held {
@@ -84,6 +89,26 @@
 	}
 }
 
+// countAbsent counts the replicas that are declared and do not run. While some
+// are missing, the others take their load.
+func (s *Scheduler) countAbsent(before, after *jaygw.Task) {
+	absent := func(t *jaygw.Task) bool {
+		return t != nil && t.Kind == jaygw.ServiceTask && !t.State.Ended() && !t.Canceling && t.State != jaygw.Running
+	}
+	if absent(before) {
+		owner := placer.OwnerKey(before)
+		if s.absent[owner]--; s.absent[owner] == 0 {
+			delete(s.absent, owner)
+			if after != nil {
+				s.complete[owner] = after.Since
+			}
+		}
+	}
+	if absent(after) {
+		s.absent[placer.OwnerKey(after)]++
+	}
+}
+
 func taskID(before, after *jaygw.Task) jaygw.TaskID {
 	if after != nil {
 		return after.ID
--- a/internal/schedule/scheduler/place.go
+++ b/internal/schedule/scheduler/place.go
@@ -48,8 +48,7 @@
 	// sameVMCost keeps a task away from the VM where it has failed last.
 	sameVMCost = 2.0
 
-	// interferenceCost weighs the logarithm of a service's rise in latency
-	// against load.
+	// interferenceCost weighs the rise of a service's latency against load.
 	interferenceCost = 8.0
 
 	// probeBonus makes a VM that waits for a probe attractive to one task.
@@ -203,7 +202,7 @@
 
 // shape returns what decides where the group's tasks fit.
 func (d *decision) shape(g *placer.Group, task *jaygw.Task) *placer.Shape {
-	if g.Shape != nil {
+	if g.Shape != nil && (g.Shape.Noisy || !d.interference.Noisy(g.Owner)) {
 		return g.Shape
 	}
 	team := d.state.Teams[g.Team.Key]
@@ -212,13 +211,16 @@
 	if size != task.Declared && (!size.Fits(team.Quota) || !d.index.CouldFit(wanted)) {
 		size = task.Declared
 	}
-	key := shapeKey{size, strings.Join(task.Domains, "\n"), strings.Join(team.MayStart, "\n")}
+	key := shapeKey{"", size, strings.Join(task.Domains, "\n"), strings.Join(team.MayStart, "\n")}
+	if d.interference.Noisy(g.Owner) {
+		key.noisy = g.Owner // fits on fewer VMs than others of its size
+	}
 	shape, ok := d.shapes[key]
 	if !ok {
 		if len(d.shapes) >= maxShapes {
 			d.shapes = map[shapeKey]*placer.Shape{}
 		}
-		shape = &placer.Shape{Size: size, Domains: task.Domains, MayStart: team.MayStart}
+		shape = &placer.Shape{Size: size, Domains: task.Domains, MayStart: team.MayStart, Noisy: key.noisy != ""}
 		d.shapes[key] = shape
 	}
 	g.Shape = shape
@@ -276,16 +278,40 @@
 	if d.withoutInterference {
 		return cost
 	}
-	for other := range n.Owners() {
-		if task.Kind == jaygw.ServiceTask {
-			cost += interferenceCost * d.interference.Effect(owner, other, d.now)
-		} else {
-			cost += interferenceCost * d.interference.Effect(other, owner, d.now)
+	if task.Kind == jaygw.ServiceTask {
+		return cost + interferenceCost*d.rise(owner, n, "")
+	}
+	if !d.interference.Noisy(owner) {
+		return cost
+	}
+	for service := range n.Owners() {
+		if d.interference.Effect(service, owner, d.now) == 0 {
+			continue
+		}
+		rise := d.rise(service, n, owner)
+		if rise > allowedRise && task.Class == jaygw.Bulk && d.now.Sub(task.Submitted) < patience {
+			return placer.Never
 		}
+		cost += interferenceCost * rise
 	}
 	return cost
 }
 
+// rise returns by how much the batch tasks on the VM, and one more of an owner,
+// raise a service's latency.
+func (d *decision) rise(service string, n *placer.Node, more string) float64 {
+	rise := 0.0
+	for owner, tasks := range n.Owners() {
+		if owner != service {
+			rise += float64(tasks) * d.interference.Effect(service, owner, d.now)
+		}
+	}
+	if more != "" {
+		rise += d.interference.Effect(service, more, d.now)
+	}
+	return rise
+}
+
 func bulkBatch(task *jaygw.Task) bool {
 	return task.Kind == jaygw.BatchTask && task.Class == jaygw.Bulk
 }
--- a/internal/schedule/scheduler/react.go
+++ b/internal/schedule/scheduler/react.go
@@ -32,11 +32,18 @@
 	// the one below which throttling is taken back. The distance between them
 	// keeps the loop from switching back and forth.
 	slowFactor = 1.2
-	calmFactor = 1.08
+	calmFactor = 1.12
 
-	// blameFloor is the effect, as the logarithm of a factor, below which an
-	// owner is not acted against.
-	blameFloor = 0.08
+	// blameFloor is the rise below which an owner is not acted against.
+	blameFloor = 0.05
+
+	// allowedRise is the rise that the tasks placed beside a service may cause by
+	// their estimated effects. It is below what slowFactor reacts to.
+	allowedRise = 0.15
+
+	// patience is how long a noisy task waits for a VM without a service that it
+	// would slow. After that it starts, and the reactions limit it.
+	patience = 10 * time.Minute
 
 	// throttlePercent is what is left to a throttled attempt.
 	throttlePercent = 50
@@ -48,12 +55,16 @@
 	// minLag is the shortest time between two actions on one VM.
 	minLag = 2 * time.Second
 
+	// settling is how long a service's latency is ignored after its last missing
+	// replica has started again: without that, moves of replicas were blamed on
+	// batch work.
+	settling = 2 * time.Second
+
 	// latencyKept is how long a report counts.
 	latencyKept = 30 * time.Second
 
-	// moveAfter is how long an attempt may run before interference moves it
-	// again.
-	moveAfter = time.Minute
+	// moveAfter is how long an attempt has to run before interference moves it.
+	moveAfter = 5 * time.Second
 
 	// liftedKept is how long the order that ends a throttle is repeated.
 	liftedKept = 5 * time.Second
@@ -71,7 +82,11 @@
 }
 
 func (s *Scheduler) observeLatency(vm, owner string, sample jaygw.Usage, now jaygw.Time) {
-	factor := s.interference.Observe(vm, owner, sample.Latency, now.Add(-sample.Lag), now)
+	at := now.Add(-sample.Lag)
+	if s.absent[owner] > 0 || at < s.complete[owner].Add(settling) {
+		return // slower because it has fewer replicas
+	}
+	factor := s.interference.Observe(vm, owner, sample.Latency, at, now)
 	s.control(vm).services[owner] = latency{factor: factor, at: now, lag: sample.Lag, fresh: true}
 	s.reported[vm] = true
 }
@@ -193,7 +208,11 @@
 			tasks[owner] = append(tasks[owner], task)
 		}
 	}
-	for _, owner := range d.interference.Worst(service, sortedNames(tasks), blameFloor, d.now) {
+	counts := map[string]int{}
+	for owner, list := range tasks {
+		counts[owner] = len(list)
+	}
+	for _, owner := range d.interference.Worst(service, counts, blameFloor, d.now) {
 		if d.throttle(vm, c, tasks[owner]) || d.moveAway(c, tasks[owner], service) {
 			return
 		}
--- a/internal/schedule/scheduler/scheduler.go
+++ b/internal/schedule/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 		rates           map[string]*rate                // of service moves, by environment
 		controls        map[string]*control             // of interference, by VM
 		reported        map[string]bool                 // VMs with new latencies
+		absent          map[string]int                  // replicas that do not run, by service
+		complete        map[string]jaygw.Time           // when the last absent replica ran again
 		ordersFor       map[string]bool                 // VMs whose orders have changed
 		silent          map[string]bool
 		stuck           map[string]string // reason by environment/job
@@ -64,6 +66,7 @@
 	}
 
 	shapeKey struct {
+		noisy             string
 		size              jaygw.Resources
 		domains, mayStart string
 	}
