Start new jobs with a few tasks until they are measured

Cause: all tasks of a new job started before the first lagged report, so a wrong declaration ran VMs out of memory and a noisy wave reached every service at once. Change: a new job runs on half as many tasks as there are VMs; the number doubles with each lag of the reports, and the limit ends after six steps, after as many completed tasks, or after 15 s without any report. Conclusion: fewer tasks are wrong at once.

--- a/internal/schedule/estimator/usage.go
+++ b/internal/schedule/estimator/usage.go
@@ -4,6 +4,7 @@
 package estimator
 
 import (
+	"math"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -24,6 +25,8 @@
 		runTime time.Duration
 		runs    int
 		seen    jaygw.Time
+		granted jaygw.Time // the first task
+		first   jaygw.Time // sample
 	}
 )
 
@@ -36,6 +39,15 @@
 	// more of their quota.
 	confirmPercent = 5
 
+	// minStep is the shortest time between two increases of a new job.
+	minStep = 2 * time.Second
+
+	// maxSteps is the number of increases after which a job is not limited.
+	maxSteps = 6
+
+	// reportTimeout is how long a new job waits for a first report.
+	reportTimeout = 15 * time.Second
+
 	// minSamples is how many samples raise a reservation: one may be a spike at
 	// the start.
 	minSamples = 3
@@ -68,7 +80,9 @@
 	o := u.owner(name)
 	keep := decay(now.Sub(o.seen), peakHalfLife)
 	o.seen = now
-	o.samples++
+	if o.samples++; o.samples == 1 {
+		o.first = now
+	}
 	if o.samples == 1 {
 		keep = 0
 	}
@@ -120,6 +134,37 @@
 	return declared
 }
 
+// Granted notes that a task of the owner was granted.
+func (u *Usage) Granted(name string, now jaygw.Time) {
+	if o := u.owner(name); o.granted == 0 {
+		o.granted = now
+		o.seen = now
+	}
+}
+
+// Allowed returns how many tasks of the owner may run at once. Nothing is known of
+// a new job; it starts with the given number of tasks, which doubles with each
+// step once reports arrive. Jobs whose tasks complete, and those of platforms that
+// report nothing, are not limited.
+func (u *Usage) Allowed(name string, initial int, now jaygw.Time) int {
+	o, ok := u.owners[name]
+	switch {
+	case !ok || o.granted == 0:
+		return initial
+	case o.runs >= initial || o.samples == 0 && now.Sub(o.granted) > reportTimeout:
+		return math.MaxInt
+	case o.samples == 0:
+		return initial
+	}
+	// The first report tells the lag, and a report that shows the effect of one
+	// step arrives that much after it.
+	steps := now.Sub(o.first) / max(minStep, o.first.Sub(o.granted)+time.Second)
+	if steps >= maxSteps {
+		return math.MaxInt
+	}
+	return initial << steps
+}
+
 // Reserve returns what to commit for a task of the owner: the larger of the
 // declared size and the estimate, at most the limit. With below, the estimate
 // counts once there are enough samples, also if it is smaller.
--- a/internal/schedule/placer/index.go
+++ b/internal/schedule/placer/index.go
@@ -19,6 +19,7 @@
 		leaving map[string]*Node
 		planned []*Node
 		freed   map[string]*Node
+		running map[string]int  // attempts by owner
 		total   jaygw.Resources // of all VMs that are not leaving
 		largest jaygw.Resources // over all VMs ever announced
 		version int             // grows when VMs come, go or change their size
@@ -59,7 +60,7 @@
 func NewIndex() *Index {
 	return &Index{
 		nodes: map[string]*Node{}, domains: map[string]*Domain{},
-		leaving: map[string]*Node{}, freed: map[string]*Node{},
+		leaving: map[string]*Node{}, freed: map[string]*Node{}, running: map[string]int{},
 	}
 }
 
@@ -78,6 +79,9 @@
 // Total returns the size of all VMs that are not leaving.
 func (x *Index) Total() jaygw.Resources { return x.total }
 
+// Running returns the number of attempts of an owner that hold resources.
+func (x *Index) Running(owner string) int { return x.running[owner] }
+
 // Largest returns the largest announced amount of each resource on one VM.
 func (x *Index) Largest() jaygw.Resources { return x.largest }
 
@@ -246,6 +250,7 @@
 	}
 	owner := OwnerKey(task)
 	add(n.owners, owner, change)
+	add(x.running, owner, change)
 	if task.State != jaygw.Stopping {
 		n.Active += change
 	}
--- a/internal/schedule/scheduler/place.go
+++ b/internal/schedule/scheduler/place.go
@@ -45,6 +45,11 @@
 	// maxShapes bounds the table of shapes before it is built again.
 	maxShapes = 4096
 
+	// A new job starts with tasks on one of initialShare VMs, and at least
+	// minInitial.
+	initialShare = 2
+	minInitial   = 4
+
 	// sameVMCost keeps a task away from the VM where it has failed last.
 	sameVMCost = 2.0
 
@@ -134,6 +139,11 @@
 		}
 		shape := d.shape(g, task)
 		important := outranksBatch(task)
+		if d.tooNew(task, g.Owner) {
+			team.Idle = false
+			team.Skip()
+			continue
+		}
 		if shape.Blocked && !important || !d.quotaAllows(task, shape.Size) {
 			team.Skip()
 			continue
@@ -158,6 +168,16 @@
 	}
 }
 
+// tooNew reports whether a job has to show what it uses and slows before more of
+// its tasks start.
+func (d *decision) tooNew(task *jaygw.Task, owner string) bool {
+	if !bulkBatch(task) || d.withoutEstimates {
+		return false
+	}
+	initial := max(minInitial, d.index.Nodes()/initialShare)
+	return d.index.Running(owner)+d.starting[owner] >= d.usage.Allowed(owner, initial, d.now)
+}
+
 // outranksBatch reports whether bulk batch work gives way to the task.
 func outranksBatch(task *jaygw.Task) bool {
 	return task.Class == jaygw.Urgent || task.Kind == jaygw.ServiceTask && task.Class == jaygw.LatencyCritical
@@ -167,6 +187,8 @@
 	d.index.Plan(node, size)
 	d.charge(placer.TeamKey(task), size)
 	d.granted[task.ID] = true
+	d.starting[placer.OwnerKey(task)]++
+	d.usage.Granted(placer.OwnerKey(task), d.now)
 	d.grants = append(d.grants, jaygw.Grant{
 		Task: task.ID, After: task.Epoch, VM: node.VM.Name, Incarnation: node.VM.Incarnation, Reserve: size,
 	})
--- a/internal/schedule/scheduler/scheduler.go
+++ b/internal/schedule/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 		used      map[string]jaygw.Resources // by team, with what is planned
 		granted   map[jaygw.TaskID]bool
 		evicted   map[jaygw.TaskID]bool
+		starting  map[string]int // grants by owner
 		taken     []placer.Taken
 		grants    []jaygw.Grant
 		evictions []jaygw.Eviction
@@ -106,6 +107,7 @@
 	d := &decision{
 		Scheduler: s, machine: machine, state: machine.State(), now: now,
 		used: map[string]jaygw.Resources{}, granted: map[jaygw.TaskID]bool{}, evicted: map[jaygw.TaskID]bool{},
+		starting: map[string]int{},
 	}
 	d.prepare()
 	d.leave()
--- a/internal/schedule/scheduler/scheduler_test.go
+++ b/internal/schedule/scheduler/scheduler_test.go
@@ -139,6 +139,8 @@
 		e.submit(jaygw.JobSpec{Name: team, Team: team, Tasks: 200, Resources: size(1, 1)})
 	}
 	e.settle()
+	e.pass(20 * time.Second) // without reports, new jobs are limited for a while
+	e.settle()
 	require.InDelta(t, 10, e.count("one", jaygw.Running), 1)
 	require.InDelta(t, 20, e.count("two", jaygw.Running), 1)
 	require.InDelta(t, 30, e.count("three", jaygw.Running), 1)
