--- a/internal/schedule/scheduler/scheduler.go
+++ b/internal/schedule/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 		rates           map[string]*rate                // of service moves, by environment
 		controls        map[string]*control             // of interference, by VM
 		reported        map[string]bool                 // VMs with new latencies
+		absent          map[string]int                  // replicas that do not run, by service
+		complete        map[string]jaygw.Time           // when the last absent replica ran again
 		ordersFor       map[string]bool                 // VMs whose orders have changed
 		silent          map[string]bool
 		stuck           map[string]string // reason by environment/job
@@ -55,6 +57,7 @@
 		used      map[string]jaygw.Resources // by team, with what is planned
 		granted   map[jaygw.TaskID]bool
 		evicted   map[jaygw.TaskID]bool
+		starting  map[string]int // grants by owner
 		taken     []placer.Taken
 		grants    []jaygw.Grant
 		evictions []jaygw.Eviction
@@ -64,6 +67,7 @@
 	}
 
 	shapeKey struct {
+		noisy             string
 		size              jaygw.Resources
 		domains, mayStart string
 	}
@@ -103,6 +107,7 @@
 	d := &decision{
 		Scheduler: s, machine: machine, state: machine.State(), now: now,
 		used: map[string]jaygw.Resources{}, granted: map[jaygw.TaskID]bool{}, evicted: map[jaygw.TaskID]bool{},
+		starting: map[string]int{},
 	}
 	d.prepare()
 	d.leave()
