Add the consensus core as a pure step function

A control group has one replica; a lost VM stops it.

A replica is proven once it had every committed entry. Until then its vote counts only together with those of all voters: its disk may have been lost with what it had confirmed. The first election of a new group therefore needs all its members. A new member may name the one it replaces; that one leaves as soon as the new one votes, so the group does not stay at an even number of voters.

--- a/control.go
+++ b/control.go
@@ -41,6 +41,8 @@
 		Address string `json:"address"`
 		Domain  string `json:"domain"`
 		Voter   bool   `json:"voter"`
+		// Replaces is the member that leaves once this one votes.
+		Replaces uint64 `json:"replaces,omitempty"`
 	}
 
 	// ReplicaStatus describes one replica.
--- a/internal/control/journaler/journaler_test.go
+++ b/internal/control/journaler/journaler_test.go
@@ -105,7 +105,7 @@
 	switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
 	case kind == 0:
 		s.ballot.Term++
-		s.ballot.Standing = replicator.Ready
+		s.ballot.Proven = true
 		return s, j.SaveBallot(s.ballot)
 	case kind == 1:
 		meta := replicator.SnapshotMeta{Index: s.last() + 3, Term: s.ballot.Term + 1000 + s.last()}
@@ -137,7 +137,7 @@
 	disk, err := NewFolder(folder)
 	require.NoError(t, err)
 	j, s := reopen(t, disk)
-	s.ballot = replicator.Ballot{Term: 3, Vote: 1, Standing: replicator.Ready}
+	s.ballot = replicator.Ballot{Term: 3, Vote: 1, Proven: true}
 	require.NoError(t, j.SaveBallot(s.ballot))
 	for index := uint64(1); index <= 20; index++ {
 		e := replicator.Entry{Index: index, Term: 3, Data: make([]byte, 80)}
--- /dev/null
+++ b/internal/control/replicator/cluster_test.go
@@ -0,0 +1,468 @@
+package replicator
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jaygw/jaygw"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+type (
+	// cluster runs replicas of a register on virtual time. A put returns the
+	// value before it.
+	cluster struct {
+		t       *rapid.T
+		size    int // of the new group
+		changes int // of the members, asked for
+		changed int // of the members, committed
+		r       *rand.Rand
+		now     time.Duration
+		nodes   []*node
+		network []Message
+		blocked map[[2]uint64]bool // one way, from and to
+		history []porcupine.Operation
+		leaders map[uint64]uint64 // by term
+		entries map[uint64]Entry  // applied, by index
+		highest uint64
+		wiped   bool
+		refused map[uint64]bool // proposals, by value
+	}
+
+	node struct {
+		id      uint64
+		core    *Core // nil while down
+		paused  bool
+		skew    jaygw.Time
+		disk    Restored
+		data    []byte // of the snapshot on disk
+		value   uint64
+		time    jaygw.Time
+		applied uint64
+		puts    map[uint64]int // operation by id
+		placed  map[uint64]Appended
+		reads   map[uint64]int
+		indexes map[uint64]uint64 // confirmed reads that wait for the state
+	}
+
+	registerOp struct {
+		put   bool
+		value uint64
+	}
+)
+
+var registerModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		op := input.(registerOp)
+		matches := output == nil || output.(uint64) == state.(uint64)
+		if op.put {
+			return matches, op.value
+		}
+		return matches, state
+	},
+}
+
+func newCluster(t *rapid.T, size int, seed uint64) *cluster {
+	c := &cluster{
+		t: t, size: size, r: rand.New(rand.NewPCG(seed, 1)), now: time.Second,
+		blocked: map[[2]uint64]bool{}, leaders: map[uint64]uint64{}, entries: map[uint64]Entry{},
+		refused: map[uint64]bool{},
+	}
+	for id := uint64(1); id <= uint64(size); id++ {
+		c.nodes = append(c.nodes, &node{id: id, skew: jaygw.Time(c.r.IntN(int(time.Minute)))})
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	return c
+}
+
+// spare adds a replica that is no member yet.
+func (c *cluster) spare() *node {
+	n := &node{id: uint64(len(c.nodes) + 1)}
+	c.nodes = append(c.nodes, n)
+	c.start(n)
+	return n
+}
+
+func (c *cluster) bootstrap(n *node) []jaygw.Member {
+	if n.id > uint64(c.size) {
+		return nil
+	}
+	var members []jaygw.Member
+	for _, n := range c.nodes[:c.size] {
+		members = append(members, jaygw.Member{ID: n.id, Address: fmt.Sprint(n.id), Voter: true})
+	}
+	return members
+}
+
+func (c *cluster) start(n *node) {
+	n.core = New(Config{
+		ID: n.id, Bootstrap: c.bootstrap(n), Seed: c.r.Uint64(),
+		Heartbeat: DefaultHeartbeat, Election: DefaultElection, Kept: 3, Chunk: 5,
+	}, Restored{Ballot: n.disk.Ballot, Snapshot: n.disk.Snapshot, Entries: slices.Clone(n.disk.Entries)})
+	n.restore(n.disk.Snapshot, n.data)
+	n.puts, n.reads = map[uint64]int{}, map[uint64]int{}
+	n.placed, n.indexes = map[uint64]Appended{}, map[uint64]uint64{}
+	n.paused = false
+}
+
+func (n *node) restore(meta SnapshotMeta, data []byte) {
+	n.applied, n.time, n.value = meta.Index, meta.Time, 0
+	if len(data) > 0 {
+		n.value = binary.BigEndian.Uint64(data)
+	}
+}
+
+// step runs a step and what it asks for. A crash loses the rest at a drawn
+// place: only a part is stored and nothing is sent, or all is stored.
+func (c *cluster) step(n *node, crash bool, inputs ...Input) {
+	if n.core == nil || n.paused {
+		return
+	}
+	out := n.core.Step(c.now, inputs...)
+	require.NoError(c.t, out.Fault)
+	cut := -1
+	if crash {
+		cut = c.r.IntN(4)
+	}
+	if out.Ballot != nil && cut != 0 {
+		n.disk.Ballot = *out.Ballot
+	}
+	if out.Install != nil && cut != 0 && cut != 1 {
+		n.disk.Snapshot, n.disk.Entries, n.data = out.Install.Meta, nil, out.Install.Data
+	}
+	for i, e := range out.Entries {
+		if cut == 0 || cut == 1 || cut == 2 && i > c.r.IntN(len(out.Entries)) {
+			break
+		}
+		n.disk.store(e)
+	}
+	if crash {
+		n.core = nil
+		return
+	}
+	if n.core.Role() == Leader {
+		other, ok := c.leaders[n.core.Term()]
+		require.True(c.t, !ok || other == n.id, "members %d and %d both led term %d", other, n.id, n.core.Term())
+		c.leaders[n.core.Term()] = n.id
+	}
+	for _, m := range out.Messages {
+		if m.Kind == Chunk {
+			if m.Meta.Index != n.disk.Snapshot.Index {
+				continue
+			}
+			m.Data = n.data[m.Offset : m.Offset+m.Length]
+		}
+		c.network = append(c.network, m)
+	}
+	if out.Install != nil {
+		n.restore(out.Install.Meta, out.Install.Data)
+	}
+	for _, a := range out.Appended {
+		n.placed[a.ID] = a
+		c.refused[a.ID] = a.Err != nil
+	}
+	c.apply(n, out.Apply)
+	for _, r := range out.Reads {
+		if r.Err == nil {
+			n.indexes[r.ID] = r.Index
+		}
+	}
+	for id, index := range n.indexes {
+		if op, ok := n.reads[id]; ok && n.applied >= index {
+			c.finish(op, n.value)
+			delete(n.indexes, id)
+			delete(n.reads, id)
+		}
+	}
+}
+
+func (d *Restored) store(e Entry) {
+	first := d.Snapshot.Index + 1
+	if len(d.Entries) > 0 {
+		first = d.Entries[0].Index
+	}
+	d.Entries = append(slices.Clone(d.Entries[:e.Index-first]), e)
+}
+
+func (c *cluster) apply(n *node, entries []Entry) {
+	for _, e := range entries {
+		require.Equal(c.t, n.applied+1, e.Index)
+		known, ok := c.entries[e.Index]
+		require.True(c.t, !ok || known.Term == e.Term && string(known.Data) == string(e.Data),
+			"member %d applies another entry %d", n.id, e.Index)
+		require.GreaterOrEqual(c.t, e.Time, n.time, "time goes backwards")
+		c.entries[e.Index], n.applied, n.time = e, e.Index, e.Time
+		c.highest = max(c.highest, e.Index)
+		if e.Kind != CommandEntry {
+			if !ok && len(e.Members) != c.size {
+				c.changed++
+			}
+			continue
+		}
+		before := n.value
+		n.value = binary.BigEndian.Uint64(e.Data)
+		for id, a := range n.placed {
+			if op, ok := n.puts[id]; ok && a.Err == nil && a.Index == e.Index && a.Term == e.Term {
+				c.finish(op, before)
+			}
+		}
+	}
+}
+
+func (c *cluster) begin(n *node, op registerOp) int {
+	c.history = append(c.history, porcupine.Operation{ClientId: len(c.history), Input: op, Call: c.clock(), Return: math.MaxInt64})
+	return len(c.history) - 1
+}
+
+// clock orders operations: events within one instant of the virtual time have
+// an order, too.
+func (c *cluster) clock() int64 { c.now++; return int64(c.now) }
+
+func (c *cluster) finish(op int, output uint64) {
+	c.history[op].Output, c.history[op].Return = output, c.clock()
+}
+
+// observable returns the operations that decide about linearizability: an
+// operation without a result may be left out if no other saw its value, and a
+// refused one must be.
+func (c *cluster) observable() []porcupine.Operation {
+	seen := map[uint64]bool{}
+	for _, op := range c.history {
+		if op.Output != nil {
+			seen[op.Output.(uint64)] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(c.history), func(op porcupine.Operation) bool {
+		in := op.Input.(registerOp)
+		return op.Output == nil && (!in.put || !seen[in.value] || c.refused[in.value])
+	})
+}
+
+func (c *cluster) put(n *node) {
+	if n.core == nil || n.paused {
+		return
+	}
+	value := uint64(len(c.history) + 1)
+	op := c.begin(n, registerOp{put: true, value: value})
+	n.puts[value] = op
+	c.step(n, false, Input{Proposal: &Proposal{
+		ID: value, Wall: jaygw.Time(c.now) + n.skew, Data: binary.BigEndian.AppendUint64(nil, value),
+	}})
+}
+
+func (c *cluster) read(n *node) {
+	if n.core == nil || n.paused {
+		return
+	}
+	op := c.begin(n, registerOp{})
+	id := uint64(op + 1)
+	n.reads[id] = op
+	c.step(n, false, Input{Read: id})
+}
+
+func (c *cluster) compact(n *node) {
+	if n.core == nil || n.paused || n.applied <= n.disk.Snapshot.Index {
+		return
+	}
+	meta := n.core.Meta(n.applied)
+	n.data = append(binary.BigEndian.AppendUint64(nil, n.value), "padding"...)
+	meta.Size = uint64(len(n.data))
+	n.disk.Snapshot = meta
+	for len(n.disk.Entries) > 0 && n.disk.Entries[0].Index <= meta.Index {
+		n.disk.Entries = n.disk.Entries[1:]
+	}
+	c.step(n, false, Input{Compacted: &meta})
+}
+
+// wipe replaces one member's disk by an empty one under the same id. A group that
+// has shrunk to one or two members does not survive that.
+func (c *cluster) wipe(n *node) {
+	if c.wiped || c.changes > 0 || n.id > uint64(c.size) {
+		return
+	}
+	c.wiped = true
+	n.disk, n.data = Restored{}, nil
+	c.network = slices.DeleteFunc(c.network, func(m Message) bool { return m.From == n.id || m.To == n.id })
+	c.start(n)
+}
+
+// depose cuts a leader off and reads from it while the others elect another one
+// and go on.
+func (c *cluster) depose(old *node) {
+	if old.core == nil || old.core.Role() != Leader {
+		return
+	}
+	for _, o := range c.nodes {
+		c.blocked[[2]uint64{old.id, o.id}], c.blocked[[2]uint64{o.id, old.id}] = true, true
+	}
+	for range 30 {
+		c.run(time.Duration(c.r.IntN(int(60*time.Millisecond))), func() bool { return false })
+		if leader := c.leader(); leader != nil {
+			c.put(leader)
+		}
+		c.read(old)
+	}
+}
+
+// change asks for a membership change.
+func (c *cluster) change(n *node) {
+	change := Change{ID: 1 << 40, Remove: n.id}
+	if id := uint64(c.size) + 1; n.id == id {
+		change = Change{ID: 1 << 40, Add: &jaygw.Member{ID: id, Address: "spare", Replaces: uint64(c.r.IntN(c.size + 1))}}
+	}
+	if leader := c.leader(); leader != nil && !c.wiped {
+		c.changes++
+		c.step(leader, false, Input{Change: &change})
+	}
+}
+
+func (c *cluster) deliver(i int) {
+	m := c.network[i]
+	c.network = slices.Delete(c.network, i, i+1)
+	if !c.blocked[[2]uint64{m.From, m.To}] && m.To <= uint64(len(c.nodes)) {
+		c.step(c.nodes[m.To-1], c.r.IntN(1500) == 0, Input{Message: &m})
+	}
+}
+
+// event lets something drawn happen.
+func (c *cluster) event() {
+	n := c.nodes[c.r.IntN(len(c.nodes))]
+	switch p := c.r.IntN(1000); {
+	case p < 620:
+		if len(c.network) > 0 {
+			i := 0 // in order in most cases, so that there is progress
+			if c.r.IntN(4) == 0 {
+				i = c.r.IntN(len(c.network))
+			}
+			if c.r.IntN(30) == 0 {
+				c.network = append(c.network, c.network[i])
+			}
+			c.deliver(i)
+			return
+		}
+		fallthrough
+	case p < 760:
+		c.now += time.Duration(c.r.IntN(int(70 * time.Millisecond)))
+		for _, n := range c.nodes {
+			c.step(n, c.r.IntN(1000) == 0)
+		}
+	case p < 820:
+		if leader := c.leader(); leader != nil && c.r.IntN(4) > 0 {
+			n = leader
+		}
+		c.put(n)
+	case p < 880:
+		c.read(n)
+	case p < 888:
+		if len(c.network) > 0 {
+			c.network = slices.Delete(c.network, 0, 1+c.r.IntN(len(c.network)))
+		}
+	case p < 894:
+		c.step(n, true)
+	case p < 940:
+		if n.core == nil {
+			c.start(n)
+		}
+		n.paused = false
+	case p < 946:
+		n.paused = true
+	case p < 954:
+		c.block(n)
+	case p < 974:
+		clear(c.blocked)
+	case p < 976:
+		c.wipe(n)
+	case p < 990:
+		c.compact(n)
+	case p < 992:
+		c.change(n)
+	case p < 993:
+		c.depose(n)
+	}
+}
+
+// block cuts a member off, in one way or both.
+func (c *cluster) block(n *node) {
+	ways := 1 + c.r.IntN(3)
+	for _, o := range c.nodes {
+		if o == n {
+			continue
+		}
+		if ways&1 != 0 {
+			c.blocked[[2]uint64{n.id, o.id}] = true
+		}
+		if ways&2 != 0 {
+			c.blocked[[2]uint64{o.id, n.id}] = true
+		}
+	}
+}
+
+func (c *cluster) leader() *node {
+	var found *node
+	for _, n := range c.nodes {
+		if n.core != nil && n.core.Role() == Leader && (found == nil || n.core.Term() > found.core.Term()) {
+			found = n
+		}
+	}
+	return found
+}
+
+// run lets time pass on a working network until a condition holds.
+func (c *cluster) run(limit time.Duration, done func() bool) bool {
+	for end := c.now + limit; c.now < end; c.now += 20 * time.Millisecond {
+		for _, n := range c.nodes {
+			c.step(n, false)
+		}
+		for pending := len(c.network); pending > 0 && len(c.network) > 0; pending-- {
+			m := c.network[0]
+			c.network = c.network[1:]
+			if !c.blocked[[2]uint64{m.From, m.To}] && m.To <= uint64(len(c.nodes)) {
+				c.step(c.nodes[m.To-1], false, Input{Message: &m})
+			}
+		}
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	clear(c.blocked)
+	for _, n := range c.nodes {
+		n.paused = false
+		if n.core == nil {
+			c.start(n)
+		}
+	}
+}
+
+// converged reports whether every member has applied the same, up to an index.
+func (c *cluster) converged(index uint64) bool {
+	leader := c.leader()
+	return leader != nil && !slices.ContainsFunc(leader.core.Members(), func(m jaygw.Member) bool {
+		return c.nodes[m.ID-1].applied < index
+	})
+}
+
+func (c *cluster) String() string {
+	var b strings.Builder
+	for _, n := range c.nodes {
+		if n.core != nil {
+			fmt.Fprintf(&b, "member %d: role %d, leader %d, ballot %+v, last %d, commit %d, voters %v\n", n.id, n.core.role,
+				n.core.leader, n.core.ballot, n.core.log.last(), n.core.commit, voters(n.core.Members()))
+		}
+	}
+	return b.String()
+}
--- a/internal/control/replicator/types.go
+++ b/internal/control/replicator/types.go
@@ -24,14 +24,13 @@
 		Members []jaygw.Member `cbor:"6,keyasint,omitempty"` // of a MembersEntry
 	}
 
-	// Standing says how far a replica has come since its data folder was created.
-	Standing uint8
-
 	// Ballot is what a replica must not forget between two lives.
 	Ballot struct {
-		Term     uint64   `cbor:"1,keyasint,omitempty"`
-		Vote     uint64   `cbor:"2,keyasint,omitempty"`
-		Standing Standing `cbor:"3,keyasint,omitempty"`
+		Term uint64 `cbor:"1,keyasint,omitempty"`
+		Vote uint64 `cbor:"2,keyasint,omitempty"`
+		// Proven is set once the replica had every committed entry. Until then its
+		// disk may have been lost, and entries and votes that it confirmed with it.
+		Proven bool `cbor:"3,keyasint,omitempty"`
 	}
 
 	// SnapshotMeta describes a snapshot of the applied state.
@@ -54,23 +53,23 @@
 
 	// Message is one consensus message between two replicas.
 	Message struct {
-		Kind    MessageKind   `cbor:"1,keyasint"`
-		From    uint64        `cbor:"2,keyasint"`
-		To      uint64        `cbor:"3,keyasint"`
-		Term    uint64        `cbor:"4,keyasint,omitempty"`
-		Index   uint64        `cbor:"5,keyasint,omitempty"` // previous, last, matched or confirmed index
-		LogTerm uint64        `cbor:"6,keyasint,omitempty"`
-		Commit  uint64        `cbor:"7,keyasint,omitempty"`
-		Round   uint64        `cbor:"8,keyasint,omitempty"` // of the leader's confirmation
-		Refused bool          `cbor:"9,keyasint,omitempty"`
-		Hint    uint64        `cbor:"10,keyasint,omitempty"` // last index that may match
-		Forming bool          `cbor:"11,keyasint,omitempty"` // the candidate's group is new
-		Read    uint64        `cbor:"12,keyasint,omitempty"`
-		Entries []Entry       `cbor:"13,keyasint,omitempty"`
-		Meta    *SnapshotMeta `cbor:"14,keyasint,omitempty"`
-		Offset  uint64        `cbor:"15,keyasint,omitempty"`
-		Length  uint64        `cbor:"16,keyasint,omitempty"` // of the chunk; the sender fills in Data
-		Data    []byte        `cbor:"17,keyasint,omitempty"`
+		Kind     MessageKind   `cbor:"1,keyasint"`
+		From     uint64        `cbor:"2,keyasint"`
+		To       uint64        `cbor:"3,keyasint"`
+		Term     uint64        `cbor:"4,keyasint,omitempty"`
+		Index    uint64        `cbor:"5,keyasint,omitempty"` // previous, last, matched or confirmed index
+		LogTerm  uint64        `cbor:"6,keyasint,omitempty"`
+		Commit   uint64        `cbor:"7,keyasint,omitempty"`
+		Round    uint64        `cbor:"8,keyasint,omitempty"` // of the leader's confirmation
+		Refused  bool          `cbor:"9,keyasint,omitempty"`
+		Hint     uint64        `cbor:"10,keyasint,omitempty"` // last index that may match
+		Unproven bool          `cbor:"11,keyasint,omitempty"` // of a voter
+		Read     uint64        `cbor:"12,keyasint,omitempty"`
+		Entries  []Entry       `cbor:"13,keyasint,omitempty"`
+		Meta     *SnapshotMeta `cbor:"14,keyasint,omitempty"`
+		Offset   uint64        `cbor:"15,keyasint,omitempty"`
+		Length   uint64        `cbor:"16,keyasint,omitempty"` // of the chunk; the sender fills in Data
+		Data     []byte        `cbor:"17,keyasint,omitempty"`
 	}
 
 	// Proposal is one command to append. The leader stamps Wall on the entry
@@ -100,10 +99,11 @@
 
 	// Appended names the entry that a proposal or change became.
 	Appended struct {
-		ID    uint64
-		Index uint64
-		Term  uint64
-		Err   error // jaygw.ErrNotLeader or a *jaygw.Refusal; no entry then
+		ID      uint64
+		Index   uint64
+		Term    uint64
+		Already bool  // the members are as asked since Index
+		Err     error // jaygw.ErrNotLeader or a *jaygw.Refusal; no entry then
 	}
 
 	// ReadResult answers a read: the state is current once it has applied Index.
@@ -113,17 +113,18 @@
 		Err   error
 	}
 
-	// Output is what a step asks for, in this order: store Install, store Entries
-	// and Ballot, sync, send Messages, restore Install, apply Apply, answer.
+	// Output is what a step asks for, in this order: store Ballot, Install and
+	// Entries durably, send Messages, restore Install, apply Apply, answer.
 	Output struct {
-		Install    *Snapshot
-		Entries    []Entry // an entry replaces a stored one with its index and all later ones
-		Ballot     *Ballot
-		Messages   []Message
-		Apply      []Entry
-		Appended   []Appended
-		Reads      []ReadResult
-		Leadership bool // the role or the leader may have changed
+		Install  *Snapshot
+		Entries  []Entry // an entry replaces a stored one with its index and all later ones
+		Ballot   *Ballot
+		Messages []Message
+		Apply    []Entry
+		Appended []Appended
+		Reads    []ReadResult
+		Changed  bool  // the role, the term or the leader
+		Fault    error // the log contradicts the leader's; the replica must stop
 	}
 
 	// Config configures a Core.
@@ -134,6 +135,7 @@
 		Heartbeat time.Duration
 		Election  time.Duration // least time without a leader before an election
 		Kept      uint64        // entries kept in memory behind a snapshot, for replicas a little behind
+		Chunk     uint64        // bytes of a snapshot per message; zero for the default
 	}
 
 	// Restored is what the data folder held.
@@ -155,17 +157,6 @@
 	MembersEntry
 )
 
-const (
-	// Forming is a member of a new group that has not seen a commit. It votes
-	// only for candidates in the same standing.
-	Forming Standing = iota
-	// CatchingUp is a replica whose log may lack entries that it confirmed
-	// before its disk was lost. It does not vote.
-	CatchingUp
-	// Ready is a replica that had every committed entry at some time.
-	Ready
-)
-
 const (
 	// Follower accepts entries.
 	Follower Role = iota
@@ -210,4 +201,14 @@
 
 	// MaxEntryBytes is the largest command.
 	MaxEntryBytes = 2 << 20
+
+	maxAppendBytes   = 1 << 20
+	maxUnconfirmed   = 8 << 20 // bytes on their way to one member
+	chunkBytes       = 256 << 10
+	maxSnapshotBytes = 1 << 30
+	maxReads         = 1 << 16  // waiting for a confirmation
+	maxKeptBytes     = 16 << 20 // of entries behind a snapshot
+	entryOverhead    = 64       // bytes of an entry besides its data
+
+	resendHeartbeats = 3 // without an answer before something is sent again
 )
