--- a/document.go
+++ b/document.go
@@ -81,6 +81,7 @@
 		Digest string `json:"digest"`
 		Author string `json:"author"`
 		Index  Index  `json:"index"` // of its submission
+		Time   Time   `json:"time"`  // when it left the trials
 	}
 
 	// Submitted is a document known to the control state.
--- a/internal/control/applier/documents.go
+++ b/internal/control/applier/documents.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/jaygw/jaygw"
 )
@@ -31,6 +33,9 @@
 
 func (m *Machine) submitDocument(submit jaygw.SubmitDocument) jaygw.Result {
 	document := submit.Document
+	if refusal := m.checkDocument(submit); refusal != nil {
+		return jaygw.Result{Refusal: refusal}
+	}
 	e := m.environment(document.Environment)
 	if known, ok := e.record(document.Number); ok {
 		if known.Digest == submit.Digest {
@@ -48,6 +53,15 @@
 		return jaygw.Refuse(jaygw.RefusedFull, "environment %s has its limit of %d documents on trial; promote one of them",
 			document.Environment, m.limits.Trials)
 	}
+	if _, known := m.state.Environments[document.Environment]; !known && len(m.state.Environments) >= m.limits.Environments {
+		return jaygw.Refuse(jaygw.RefusedFull, "the table of environments holds its limit of %d", m.limits.Environments)
+	}
+	size := documentBytes(document)
+	if m.index.documentBytes+size > m.limits.DocumentBytes {
+		return jaygw.Refuse(jaygw.RefusedFull, "the stored documents hold %d of %d bytes; this one has %d",
+			m.index.documentBytes, m.limits.DocumentBytes, size)
+	}
+	m.index.documentBytes += size
 	next := *e
 	next.Trials = maps.Clone(e.Trials)
 	next.Trials[document.Number] = &jaygw.Submitted{
@@ -83,13 +97,20 @@
 		return jaygw.Refuse(jaygw.RefusedUnknown, "environment %s has no document on trial with digest %s",
 			promote.Environment, promote.Digest)
 	}
-	m.putInForce(e, trial, promote.Author)
+	records, refusal := m.recordsAfter(e, trial.Document.Number)
+	if refusal == nil {
+		refusal = m.checkPromotion(e, trial.Document)
+	}
+	if refusal != nil {
+		return jaygw.Result{Refusal: refusal}
+	}
+	m.putInForce(e, trial, records, promote.Author)
 	return jaygw.Result{Digest: promote.Digest}
 }
 
 // putInForce replaces the document in force. Trials with a lower number can no
 // longer be promoted; their records are kept.
-func (m *Machine) putInForce(e *Environment, trial *jaygw.Submitted, author string) {
+func (m *Machine) putInForce(e *Environment, trial *jaygw.Submitted, records []jaygw.DocumentRecord, author string) {
 	accepted := *trial
 	accepted.State = jaygw.Production
 	accepted.Index = m.state.Index
@@ -99,49 +120,109 @@
 	next := *e
 	next.InForce = &accepted
 	next.Trials = map[uint64]*jaygw.Submitted{}
-	next.Records = slices.Clone(e.Records)
-	for _, number := range slices.Sorted(maps.Keys(e.Trials)) {
-		t := e.Trials[number]
+	next.Records = records
+	for number, t := range e.Trials {
 		if number > trial.Document.Number {
 			next.Trials[number] = t
-			continue
+		} else if t != trial {
+			m.index.documentBytes -= documentBytes(t.Document)
 		}
-		next.Records = append(next.Records, jaygw.DocumentRecord{
-			Number: number, Digest: t.Digest, Author: t.Author, Index: t.Index,
-		})
 	}
-	if extra := len(next.Records) - m.limits.Records; extra > 0 {
-		next.Records = slices.Clone(next.Records[extra:])
+	var before *jaygw.Document
+	if e.InForce != nil {
+		before = &e.InForce.Document
+		m.index.documentBytes -= documentBytes(*before)
 	}
 	m.state.Environments[e.Name] = &next
 	m.documentChanged(&accepted)
 	m.applyDomains(accepted.Document)
 	m.applyTeams(accepted.Document)
-	m.applyServices(accepted.Document)
-	for _, spec := range accepted.Document.Jobs {
-		spec.Environment = accepted.Document.Environment
-		m.submitJob(spec)
+	m.applyServices(before, accepted.Document)
+	for _, spec := range newJobs(before, accepted.Document) {
+		if _, known := m.state.Jobs[ownerKey(spec.Environment, spec.Name)]; !known {
+			m.addJob(spec)
+		}
+	}
+}
+
+// recordsAfter returns the records of an environment once the document with a
+// number is in force, or a refusal if they have no room. Records leave when they
+// are out of retention and the table is full.
+func (m *Machine) recordsAfter(e *Environment, number uint64) ([]jaygw.DocumentRecord, *jaygw.Refusal) {
+	records := slices.Clone(e.Records)
+	for _, n := range slices.Sorted(maps.Keys(e.Trials)) {
+		if t := e.Trials[n]; n <= number {
+			records = append(records, jaygw.DocumentRecord{
+				Number: n, Digest: t.Digest, Author: t.Author, Index: t.Index, Time: m.state.Time,
+			})
+		}
 	}
+	extra := max(0, len(records)-m.limits.Records)
+	if extra > 0 && records[extra-1].Time.Add(recordRetention) > m.state.Time {
+		return nil, &jaygw.Refusal{Code: jaygw.RefusedFull, Detail: fmt.Sprintf(
+			"environment %s has its limit of %d earlier documents; they leave after %s", e.Name, m.limits.Records, recordRetention)}
+	}
+	return slices.Clone(records[extra:]), nil
+}
+
+// newJobs returns the jobs that a document declares and the one before it did
+// not. A job that both declare was started with the earlier one; after its
+// retention it would run a second time.
+func newJobs(before *jaygw.Document, document jaygw.Document) []jaygw.JobSpec {
+	started := map[string]jaygw.JobSpec{}
+	if before != nil {
+		for _, spec := range before.Jobs {
+			spec.Environment = before.Environment
+			started[spec.Name] = spec
+		}
+	}
+	var jobs []jaygw.JobSpec
+	for _, spec := range document.Jobs {
+		spec.Environment = document.Environment
+		if old, ok := started[spec.Name]; !ok || !sameJob(old, spec) {
+			jobs = append(jobs, spec)
+		}
+	}
+	return jobs
 }
 
 func (m *Machine) applyDomains(document jaygw.Document) {
 	for _, spec := range document.Domains {
-		if _, ok := m.state.Domains[spec.Name]; ok {
+		if old, ok := m.state.Domains[spec.Name]; ok {
+			if old.Region != spec.Region {
+				next := *old
+				next.Region = spec.Region
+				m.putDomain(&next)
+			}
 			continue
 		}
 		m.putDomain(&jaygw.FailureDomain{Name: spec.Name, Region: spec.Region, Since: m.state.Time})
 	}
 }
 
+// applyTeams sets the quotas of the declared teams. A team that is no longer
+// declared starts nothing and is dropped once it holds nothing.
 func (m *Machine) applyTeams(document jaygw.Document) {
+	declared := map[string]bool{}
 	for _, spec := range document.Teams {
 		key := ownerKey(document.Environment, spec.Name)
+		declared[key] = true
 		team := jaygw.Team{Name: spec.Name, Quota: spec.Quota, Weight: max(1, spec.Weight), MayStart: spec.MayStart}
 		if old, ok := m.state.Teams[key]; ok {
 			team.Used = old.Used
 		}
 		m.state.Teams[key] = &team
 	}
+	for _, key := range sortedKeys(m.state.Teams) {
+		if declared[key] || !strings.HasPrefix(key, document.Environment+"/") {
+			continue
+		}
+		team := *m.state.Teams[key]
+		team.Quota = jaygw.Resources{}
+		team.Removed = true
+		m.state.Teams[key] = &team
+		m.dropUnusedTeam(key)
+	}
 }
 
 func (m *Machine) documentChanged(after *jaygw.Submitted) {
--- a/internal/control/applier/estate.go
+++ b/internal/control/applier/estate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -24,7 +25,11 @@
 }
 
 func (m *Machine) announceVM(vm jaygw.VM) jaygw.Result {
+	if refusal := m.checkVM(vm); refusal != nil {
+		return jaygw.Result{Refusal: refusal}
+	}
 	old, known := m.state.VMs[vm.Name]
+	vm.Replaced = 0
 	if !known {
 		if len(m.state.VMs) >= m.limits.VMs {
 			return jaygw.Refuse(jaygw.RefusedFull, "the table of VMs holds its limit of %d", m.limits.VMs)
@@ -34,21 +39,48 @@
 	} else {
 		vm.Committed = old.Committed
 		vm.Since = old.Since
-		if old.Incarnation != vm.Incarnation || old.Leaving && !vm.Leaving {
+		vm.Replaced = old.Replaced
+		if old.Incarnation != vm.Incarnation {
+			vm.Replaced = old.Incarnation
+		}
+		if old.Incarnation != vm.Incarnation || old.Leaving && !vm.Leaving || old.Domain != vm.Domain {
 			vm.Since = m.state.Time
 		}
+		if old.Replaced != 0 && old.Replaced == vm.Incarnation {
+			return jaygw.Refuse(jaygw.RefusedIncarnation, "VM %s has announced a newer incarnation", vm.Name)
+		}
+		if old.Domain != vm.Domain && len(m.index.byVM[vm.Name]) > 0 {
+			return jaygw.Refuse(jaygw.RefusedState,
+				"VM %s moved from failure domain %s to %s; its tasks have to end first", vm.Name, old.Domain, vm.Domain)
+		}
 		if !vm.Committed.Fits(vm.Size) {
 			return jaygw.Refuse(jaygw.RefusedCapacity,
 				"VM %s announced a size below what is committed on it; its tasks have to leave first", vm.Name)
 		}
 	}
 	if _, ok := m.state.Domains[vm.Domain]; !ok {
+		if len(m.state.Domains) >= m.limits.Domains {
+			return jaygw.Refuse(jaygw.RefusedFull, "the table of failure domains holds its limit of %d", m.limits.Domains)
+		}
 		m.putDomain(&jaygw.FailureDomain{Name: vm.Domain, Region: vm.Region, Since: m.state.Time})
 	}
 	m.putVM(&vm)
 	return jaygw.Result{}
 }
 
+func (m *Machine) checkVM(vm jaygw.VM) *jaygw.Refusal {
+	switch {
+	case !validName(vm.Name) || !validName(vm.Domain):
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: "a VM needs valid names of itself and its failure domain"}
+	case vm.Group != "" && vm.Group != m.group:
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: fmt.Sprintf("VM %s belongs to control group %q, this is %q",
+			vm.Name, vm.Group, m.group)}
+	case !validSize(vm.Size):
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: fmt.Sprintf("VM %s announced an invalid size", vm.Name)}
+	}
+	return nil
+}
+
 // expireVM ends the attempts of a VM whose lease is over.
 func (m *Machine) expireVM(expire jaygw.ExpireVM) jaygw.Result {
 	vm, ok := m.state.VMs[expire.Name]
@@ -59,7 +91,10 @@
 		return jaygw.Refuse(jaygw.RefusedIncarnation, "VM %s has a newer incarnation", expire.Name)
 	}
 	for _, id := range m.index.tasksOn(expire.Name) {
-		task := m.state.Tasks[id]
+		task, ok := m.state.Tasks[id]
+		if !ok {
+			continue
+		}
 		if len(expire.Kinds) == 0 || slices.Contains(expire.Kinds, task.Kind) {
 			m.release(task, nil, "the lease of VM "+expire.Name+" is over")
 		}
--- a/internal/control/applier/expiry.go
+++ b/internal/control/applier/expiry.go
@@ -15,6 +15,13 @@
 	// jobRetention is how long a finished job can be shown, and its name stays
 	// taken.
 	jobRetention = 24 * time.Hour
+
+	// recordRetention is how long an earlier document's number is answered with
+	// the digest that had it.
+	recordRetention = 24 * time.Hour
+
+	// maxKeyRetention bounds how long a claim may keep its place in the table.
+	maxKeyRetention = 7 * 24 * time.Hour
 )
 
 // expire drops table entries whose retention is over at the time of the log.
@@ -42,6 +49,9 @@
 		m.index.expireAt(until, clientTable, name)
 		return
 	}
+	for _, result := range c.Results {
+		m.index.resultBytes -= resultBytes(result)
+	}
 	delete(m.state.Clients, name)
 }
 
@@ -52,6 +62,7 @@
 	}
 	if record.Claim.Expires > m.state.Time {
 		// The key was claimed again after a request that was not executed.
+		m.index.expireAt(record.Claim.Expires, keyTable, key)
 		return
 	}
 	m.index.keyBytes -= recordBytes(record)
--- a/internal/control/applier/index.go
+++ b/internal/control/applier/index.go
@@ -16,6 +16,10 @@
 		byOwner  map[string]map[jaygw.TaskID]struct{}
 		expiries expiryHeap
 		keyBytes int
+
+		resultBytes   int
+		payloadBytes  int
+		documentBytes int
 	}
 
 	// expiry is the time at which an entry of a table is dropped.
@@ -45,6 +49,9 @@
 	}
 	for name, c := range s.Clients {
 		ix.expireAt(c.LastUse.Add(clientRetention), clientTable, name)
+		for _, result := range c.Results {
+			ix.resultBytes += resultBytes(result)
+		}
 	}
 	for key, record := range s.Keys {
 		ix.keyBytes += recordBytes(record)
@@ -55,10 +62,16 @@
 			ix.expireAt(job.Finished.Add(jobRetention), jobTable, key)
 		}
 	}
+	for _, e := range s.Environments {
+		for _, submitted := range e.submitted() {
+			ix.documentBytes += documentBytes(submitted.Document)
+		}
+	}
 	return ix
 }
 
 func (ix *index) add(task *jaygw.Task) {
+	ix.payloadBytes += len(task.Payload)
 	insert(ix.byOwner, ownerKey(task.Environment, task.Owner), task.ID)
 	if task.State.Holds() {
 		insert(ix.byVM, task.VM, task.ID)
@@ -66,6 +79,7 @@
 }
 
 func (ix *index) drop(task *jaygw.Task) {
+	ix.payloadBytes -= len(task.Payload)
 	remove(ix.byOwner, ownerKey(task.Environment, task.Owner), task.ID)
 	if task.State.Holds() {
 		remove(ix.byVM, task.VM, task.ID)
--- a/internal/control/applier/jobs.go
+++ b/internal/control/applier/jobs.go
@@ -1,16 +1,17 @@
 package applier
 
 import (
+	"bytes"
 	"fmt"
-	"reflect"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/wire/encoder"
 )
 
 func (m *Machine) submitJob(spec jaygw.JobSpec) jaygw.Result {
 	key := ownerKey(spec.Environment, spec.Name)
 	if old, ok := m.state.Jobs[key]; ok {
-		if reflect.DeepEqual(old.Spec, spec) {
+		if sameJob(old.Spec, spec) {
 			return jaygw.Result{Already: true}
 		}
 		return jaygw.Refuse(jaygw.RefusedConflict, "environment %s already has another job named %s", spec.Environment, spec.Name)
@@ -18,6 +19,13 @@
 	if refusal := m.checkJob(spec); refusal != nil {
 		return jaygw.Result{Refusal: refusal}
 	}
+	m.addJob(spec)
+	return jaygw.Result{}
+}
+
+// addJob adds a job that has been checked.
+func (m *Machine) addJob(spec jaygw.JobSpec) {
+	key := ownerKey(spec.Environment, spec.Name)
 	m.state.Jobs[key] = &jaygw.Job{Spec: spec, State: jaygw.JobActive, Submitted: m.state.Time}
 	for i := range spec.Tasks {
 		m.putTask(&jaygw.Task{
@@ -34,9 +42,17 @@
 			State:       jaygw.Waiting,
 			Since:       m.state.Time,
 			Submitted:   m.state.Time,
+			Epoch:       m.state.EpochFloor,
 		})
 	}
-	return jaygw.Result{}
+}
+
+// sameJob compares encoded forms: an empty list and a missing one are equal, as
+// they are on a replica that has decoded them.
+func sameJob(a, b jaygw.JobSpec) bool {
+	left, errLeft := encoder.Marshal(a)
+	right, errRight := encoder.Marshal(b)
+	return errLeft == nil && errRight == nil && bytes.Equal(left, right)
 }
 
 // checkJob refuses jobs that cannot run, now or ever.
@@ -44,12 +60,15 @@
 	refuse := func(code jaygw.RefusalCode, format string, args ...any) *jaygw.Refusal {
 		return &jaygw.Refusal{Code: code, Detail: fmt.Sprintf(format, args...)}
 	}
+	if err := checkJobSpec(spec, m.limits); err != nil {
+		return err
+	}
 	environment, ok := m.state.Environments[spec.Environment]
 	if !ok || environment.InForce == nil {
 		return refuse(jaygw.RefusedUnknown, "environment %s has no document in force", spec.Environment)
 	}
 	team, ok := m.state.Teams[ownerKey(spec.Environment, spec.Team)]
-	if !ok {
+	if !ok || team.Removed {
 		return refuse(jaygw.RefusedUnknown, "environment %s has no team %s", spec.Environment, spec.Team)
 	}
 	for _, service := range environment.InForce.Document.Services {
@@ -57,8 +76,8 @@
 			return refuse(jaygw.RefusedConflict, "environment %s has a service named %s", spec.Environment, spec.Name)
 		}
 	}
-	if spec.Tasks < 1 || spec.Resources.IsZero() {
-		return refuse(jaygw.RefusedInvalid, "job %s needs at least one task and a size", spec.Name)
+	if len(m.index.byOwner[ownerKey(spec.Environment, spec.Name)]) > 0 {
+		return refuse(jaygw.RefusedConflict, "replicas of the former service %s are still stopping", spec.Name)
 	}
 	if !spec.Resources.Fits(team.Quota) {
 		return refuse(jaygw.RefusedNeverFits, "a task of job %s is larger than the quota of team %s", spec.Name, spec.Team)
@@ -75,6 +94,27 @@
 		return refuse(jaygw.RefusedFull, "the table of tasks holds %d of %d; job %s has %d",
 			len(m.state.Tasks), m.limits.Tasks, spec.Name, spec.Tasks)
 	}
+	if m.index.payloadBytes+spec.Tasks*len(spec.Payload) > m.limits.PayloadBytes {
+		return refuse(jaygw.RefusedFull, "the payloads of all tasks hold %d of %d bytes; job %s has %d",
+			m.index.payloadBytes, m.limits.PayloadBytes, spec.Name, spec.Tasks*len(spec.Payload))
+	}
+	return nil
+}
+
+// checkJobSpec refuses values that no job may have.
+func checkJobSpec(spec jaygw.JobSpec, limits Limits) *jaygw.Refusal {
+	switch {
+	case !validName(spec.Name) || !validName(spec.Environment) || !validName(spec.Team):
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: "a job needs valid names of itself, its environment and its team"}
+	case spec.Tasks < 1 || spec.Tasks > limits.Tasks:
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: fmt.Sprintf("job %s has %d tasks; from 1 to %d are possible",
+			spec.Name, spec.Tasks, limits.Tasks)}
+	case !validSize(spec.Resources):
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: fmt.Sprintf("job %s needs a size that is not negative", spec.Name)}
+	case len(spec.Payload) > limits.PayloadBytes:
+		return &jaygw.Refusal{Code: jaygw.RefusedInvalid, Detail: fmt.Sprintf("the payload of job %s is longer than %d bytes",
+			spec.Name, limits.PayloadBytes)}
+	}
 	return nil
 }
 
@@ -97,7 +137,10 @@
 		return jaygw.Result{Already: true}
 	}
 	for _, id := range m.index.tasksOf(key) {
-		m.cancelTask(m.state.Tasks[id])
+		// The job's tasks are dropped with the last one that ends.
+		if task, ok := m.state.Tasks[id]; ok {
+			m.cancelTask(task)
+		}
 	}
 	return jaygw.Result{}
 }
--- a/internal/control/applier/keys.go
+++ b/internal/control/applier/keys.go
@@ -25,7 +25,9 @@
 		if record.Outcome == jaygw.KeyPending && record.Claim.Request == c.Request {
 			return jaygw.ItemResult{} // a resend of the same claim
 		}
-		if record.Outcome != jaygw.KeyNotExecuted {
+		// A late duplicate of a claim that was settled as not executed must not
+		// hold the key again: its request is over.
+		if record.Outcome != jaygw.KeyNotExecuted || record.Claim.Request == c.Request {
 			code := jaygw.RefusedKeyKnown
 			if record.Outcome == jaygw.KeyPending {
 				code = jaygw.RefusedKeyBusy
@@ -38,12 +40,20 @@
 	if c.Expires <= m.state.Time {
 		return item(jaygw.RefusedInvalid, "the claim has already expired")
 	}
+	if c.Expires > m.state.Time.Add(maxKeyRetention) {
+		return item(jaygw.RefusedInvalid, "the claim asks for more than %s", maxKeyRetention)
+	}
+	if known {
+		c.Expires = max(c.Expires, record.Claim.Expires) // one expiry is noted for each key
+	}
 	next := &jaygw.KeyRecord{Claim: c, Outcome: jaygw.KeyPending}
 	if !known && len(m.state.Keys) >= m.limits.Keys || m.keyBytesAfter(record, next) > m.limits.KeyBytes {
 		return item(jaygw.RefusedFull, "the table of idempotency keys is full")
 	}
 	m.putKey(record, next)
-	m.index.expireAt(c.Expires, keyTable, c.Key)
+	if !known {
+		m.index.expireAt(c.Expires, keyTable, c.Key)
+	}
 	return jaygw.ItemResult{}
 }
 
@@ -60,12 +70,20 @@
 	if !ok || record.Claim.Request != s.Request {
 		return item(jaygw.RefusedUnknown, "the request does not hold the key")
 	}
+	if s.Outcome != jaygw.KeyCompleted && s.Outcome != jaygw.KeyUnknown && s.Outcome != jaygw.KeyNotExecuted {
+		return item(jaygw.RefusedInvalid, "outcome %q is not known", s.Outcome)
+	}
+	if record.Outcome == s.Outcome {
+		return jaygw.ItemResult{} // a resend
+	}
 	if record.Outcome != jaygw.KeyPending && record.Outcome != jaygw.KeyUnknown {
 		return item(jaygw.RefusedState, "the key is settled as %s", record.Outcome)
 	}
 	next := *record
 	next.Outcome = s.Outcome
-	next.Response = s.Response
+	if s.Outcome == jaygw.KeyCompleted {
+		next.Response = s.Response
+	}
 	next.Settled = m.state.Time
 	if m.keyBytesAfter(record, &next) > m.limits.KeyBytes {
 		// The outcome is kept without the response: a resend then learns that
--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -21,14 +21,20 @@
 
 	// Limits bounds the tables of the state. A full table refuses new entries.
 	Limits struct {
-		Trials   int // documents on trial per environment
-		Records  int // records of earlier documents per environment
-		VMs      int
-		Jobs     int // including finished ones
-		Tasks    int
-		Keys     int
-		KeyBytes int // stored responses in total
-		Clients  int
+		Environments  int
+		Domains       int
+		Teams         int
+		Trials        int // documents on trial per environment
+		Records       int // records of earlier documents per environment
+		DocumentBytes int // documents in force and on trial in total, encoded
+		VMs           int
+		Jobs          int // including finished ones
+		Tasks         int
+		PayloadBytes  int // payloads of all tasks in total
+		Keys          int
+		KeyBytes      int // stored responses in total
+		Clients       int
+		ResultBytes   int // stored results in total, estimated
 	}
 
 	// Option changes a new Machine.
@@ -40,14 +46,20 @@
 // DefaultLimits carries the target size with a margin of two.
 func DefaultLimits() Limits {
 	return Limits{
-		Trials:   16,
-		Records:  4096,
-		VMs:      5_000,
-		Jobs:     50_000,
-		Tasks:    150_000,
-		Keys:     200_000,
-		KeyBytes: 64 << 20,
-		Clients:  50_000,
+		Environments:  64,
+		Domains:       256,
+		Teams:         1024,
+		Trials:        16,
+		Records:       8192, // 3,700 changes a day, kept for a day
+		DocumentBytes: 32 << 20,
+		VMs:           5_000,
+		Jobs:          50_000,
+		Tasks:         150_000,
+		PayloadBytes:  16 << 20,
+		Keys:          200_000,
+		KeyBytes:      64 << 20,
+		Clients:       50_000,
+		ResultBytes:   32 << 20,
 	}
 }
 
@@ -108,6 +120,9 @@
 	}
 	result := m.dispatch(command)
 	result.Index = index
+	if result.Refusal != nil {
+		result.Refusal.Detail = clip(result.Refusal.Detail)
+	}
 	m.storeResult(command, result)
 	return result
 }
@@ -118,6 +133,9 @@
 }
 
 func (m *Machine) dispatch(c jaygw.Command) jaygw.Result {
+	if changes := countChanges(c); changes > 1 {
+		return jaygw.Refuse(jaygw.RefusedInvalid, "the command holds %d changes; it must hold one", changes)
+	}
 	switch {
 	case c.Submit != nil:
 		return m.submitDocument(*c.Submit)
@@ -151,3 +169,17 @@
 		return jaygw.Result{} // a barrier
 	}
 }
+
+func countChanges(c jaygw.Command) int {
+	changes := 0
+	for _, set := range []bool{
+		c.Submit != nil, c.Promote != nil, c.SetDomain != nil, c.AnnounceVM != nil, c.ExpireVM != nil,
+		c.RemoveVM != nil, c.SubmitJob != nil, c.CancelJob != nil, c.Grant != nil, c.Report != nil,
+		c.Evict != nil, c.Resize != nil, c.Claim != nil, c.Settle != nil,
+	} {
+		if set {
+			changes++
+		}
+	}
+	return changes
+}
--- a/internal/control/applier/reports.go
+++ b/internal/control/applier/reports.go
@@ -10,16 +10,19 @@
 	}
 	results := make([]jaygw.ItemResult, len(batch.Reports))
 	for i, report := range batch.Reports {
-		results[i] = m.report(report)
+		results[i] = m.report(batch.VM, report)
 	}
 	return jaygw.Result{Results: results}
 }
 
-func (m *Machine) report(r jaygw.Report) jaygw.ItemResult {
+func (m *Machine) report(vm string, r jaygw.Report) jaygw.ItemResult {
 	task, refused := m.attempt(r.Attempt)
 	if task == nil {
 		return refused
 	}
+	if task.LastVM == "" || task.LastVM != vm {
+		return item(jaygw.RefusedState, "VM %s was not granted epoch %d of task %s", vm, r.Attempt.Epoch, task.ID)
+	}
 	if task.State.Ended() {
 		return item(jaygw.RefusedState, "task %s is %s", task.ID, task.State)
 	}
@@ -73,6 +76,7 @@
 	next.State = jaygw.Done
 	next.Since = m.state.Time
 	next.VM = ""
+	next.Incarnation = 0
 	next.Reserved = jaygw.Resources{}
 	next.Reason = ""
 	m.finish(&next)
@@ -97,6 +101,7 @@
 	next.State = jaygw.Failed
 	next.Since = m.state.Time
 	next.VM = ""
+	next.Incarnation = 0
 	next.Reserved = jaygw.Resources{}
 	next.Reason = r.Reason
 	m.finish(&next)
--- a/internal/control/applier/services.go
+++ b/internal/control/applier/services.go
@@ -7,8 +7,9 @@
 )
 
 // applyServices creates the replicas that the document declares, updates the
-// declared sizes, and stops replicas that it no longer declares.
-func (m *Machine) applyServices(document jaygw.Document) {
+// declared sizes, and stops replicas that the document before it declared and it
+// does not.
+func (m *Machine) applyServices(before *jaygw.Document, document jaygw.Document) {
 	declared := map[jaygw.TaskID]bool{}
 	for _, spec := range document.Services {
 		for i := range spec.Replicas {
@@ -17,9 +18,14 @@
 			m.declareReplica(task)
 		}
 	}
-	for _, task := range m.replicas(document.Environment) {
-		if !declared[task.ID] {
-			m.cancelTask(task)
+	if before == nil {
+		return
+	}
+	for _, spec := range before.Services {
+		for _, id := range m.index.tasksOf(ownerKey(before.Environment, spec.Name)) {
+			if !declared[id] {
+				m.cancelTask(m.state.Tasks[id])
+			}
 		}
 	}
 }
@@ -39,13 +45,11 @@
 
 func (m *Machine) declareReplica(task jaygw.Task) {
 	old, ok := m.state.Tasks[task.ID]
-	if !ok || old.State.Ended() {
+	if !ok {
 		task.State = jaygw.Waiting
 		task.Since = m.state.Time
 		task.Submitted = m.state.Time
-		if ok {
-			task.Epoch = old.Epoch // epochs of one id never repeat
-		}
+		task.Epoch = m.state.EpochFloor
 		m.putTask(&task)
 		return
 	}
@@ -67,16 +71,3 @@
 	m.chargeTeam(old, jaygw.Resources{}.Sub(old.Reserved))
 	m.chargeTeam(next, old.Reserved)
 }
-
-// replicas returns all service tasks of an environment, in the order of their
-// ids.
-func (m *Machine) replicas(environment string) []*jaygw.Task {
-	var tasks []*jaygw.Task
-	for _, id := range sortedKeys(m.state.Tasks) {
-		task := m.state.Tasks[id]
-		if task.Kind == jaygw.ServiceTask && task.Environment == environment {
-			tasks = append(tasks, task)
-		}
-	}
-	return tasks
-}
--- a/internal/control/applier/state.go
+++ b/internal/control/applier/state.go
@@ -14,6 +14,7 @@
 		Version      int
 		Index        jaygw.Index
 		Time         jaygw.Time
+		EpochFloor   jaygw.Epoch // highest epoch of all dropped tasks; new tasks start there
 		Environments map[string]*Environment
 		Domains      map[string]*jaygw.FailureDomain
 		VMs          map[string]*jaygw.VM
@@ -58,6 +59,7 @@
 		Version:      s.Version,
 		Index:        s.Index,
 		Time:         s.Time,
+		EpochFloor:   s.EpochFloor,
 		Environments: maps.Clone(s.Environments),
 		Domains:      maps.Clone(s.Domains),
 		VMs:          maps.Clone(s.VMs),
@@ -80,6 +82,9 @@
 		return eris.Errorf("the snapshot has format version %d; this program reads version %d",
 			state.Version, stateVersion)
 	}
+	if err := state.validate(); err != nil {
+		return eris.Wrap(err, "restore the control state")
+	}
 	m.state = state
 	m.index = newIndex(state)
 	for _, observer := range m.observers {
--- a/internal/control/applier/tasks.go
+++ b/internal/control/applier/tasks.go
@@ -36,6 +36,7 @@
 	next.Since = m.state.Time
 	next.Epoch++
 	next.VM = g.VM
+	next.LastVM = g.VM
 	next.Incarnation = g.Incarnation
 	next.Reserved = g.Reserve
 	next.Reason = ""
@@ -65,7 +66,7 @@
 	if !m.reservationAllowed(task, g.Reserve) {
 		return item(jaygw.RefusedInvalid, "task %s has to be committed with its declared size at least", task.ID)
 	}
-	if !vm.Committed.Add(g.Reserve).Fits(vm.Size) {
+	if !g.Reserve.Fits(vm.Size) || !vm.Committed.Add(g.Reserve).Fits(vm.Size) {
 		return item(jaygw.RefusedCapacity, "task %s does not fit on VM %s", task.ID, g.VM)
 	}
 	if !team.Used.Add(g.Reserve).Fits(team.Quota) {
@@ -77,7 +78,7 @@
 // reservationAllowed reports whether a task may be committed with this size:
 // batch tasks below their declared size only if the document says so.
 func (m *Machine) reservationAllowed(task *jaygw.Task, reserve jaygw.Resources) bool {
-	if reserve.CPU < 0 || reserve.Memory < 0 || reserve.Accelerators < 0 || reserve.IsZero() {
+	if reserve.Negative() || reserve.IsZero() {
 		return false
 	}
 	if task.Declared.Fits(reserve) {
@@ -108,12 +109,15 @@
 		return item(jaygw.RefusedInvalid, "task %s has to be committed with its declared size at least", task.ID)
 	}
 	change := r.Reserve.Sub(task.Reserved)
+	// A smaller size is accepted even if the team is over a quota that was
+	// lowered.
+	shrinks := r.Reserve.Fits(task.Reserved)
 	vm := m.state.VMs[task.VM]
-	if !vm.Committed.Add(change).Fits(vm.Size) {
+	if !r.Reserve.Fits(vm.Size) || !vm.Committed.Add(change).Fits(vm.Size) {
 		return item(jaygw.RefusedCapacity, "task %s does not fit on VM %s with its new size", task.ID, task.VM)
 	}
 	team := m.state.Teams[ownerKey(task.Environment, task.Team)]
-	if team == nil || !team.Used.Add(change).Fits(team.Quota) {
+	if !shrinks && (team == nil || !team.Used.Add(change).Fits(team.Quota)) {
 		return item(jaygw.RefusedQuota, "task %s exceeds the quota of team %s with its new size", task.ID, task.Team)
 	}
 	next := *task
@@ -188,7 +192,8 @@
 		return
 	}
 	if task.Kind == jaygw.ServiceTask {
-		return // kept, so that the epochs of this id go on
+		m.dropTask(task.ID)
+		return
 	}
 	m.taskEnded(task)
 }
@@ -242,6 +247,15 @@
 	}
 	team.Used = team.Used.Add(amount)
 	m.state.Teams[key] = &team
+	m.dropUnusedTeam(key)
+}
+
+// dropUnusedTeam drops a team that the document in force no longer declares once
+// it holds no resources.
+func (m *Machine) dropUnusedTeam(key string) {
+	if team := m.state.Teams[key]; team.Removed && team.Used.IsZero() {
+		delete(m.state.Teams, key)
+	}
 }
 
 func (m *Machine) putTask(task *jaygw.Task) {
@@ -256,8 +270,13 @@
 	}
 }
 
+// dropTask forgets a task. A later task with the same id starts above its epoch,
+// so that late reports of the old task's attempts never count for the new one.
 func (m *Machine) dropTask(id jaygw.TaskID) {
 	old := m.state.Tasks[id]
+	if old.LastVM != "" {
+		m.state.EpochFloor = max(m.state.EpochFloor, old.Epoch)
+	}
 	m.index.drop(old)
 	delete(m.state.Tasks, id)
 	for _, observer := range m.observers {
@@ -266,5 +285,5 @@
 }
 
 func item(code jaygw.RefusalCode, format string, args ...any) jaygw.ItemResult {
-	return jaygw.ItemResult{Code: code, Detail: fmt.Sprintf(format, args...)}
+	return jaygw.ItemResult{Code: code, Detail: clip(fmt.Sprintf(format, args...))}
 }
--- a/internal/wire/encoder/encoder.go
+++ b/internal/wire/encoder/encoder.go
@@ -44,6 +44,9 @@
 		MaxNestedLevels:  maxNestedLevels,
 		MaxArrayElements: maxArrayElements,
 		MaxMapPairs:      maxMapPairs,
+		// Header fields of stored responses need not be UTF-8. Rejecting them here
+		// would make a log unreadable that the encoder has written.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/resources.go
+++ b/resources.go
@@ -32,5 +32,8 @@
 	return r.CPU <= size.CPU && r.Memory <= size.Memory && r.Accelerators <= size.Accelerators
 }
 
+// Negative reports whether any dimension is below zero.
+func (r Resources) Negative() bool { return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0 }
+
 // IsZero reports whether all dimensions are zero.
 func (r Resources) IsZero() bool { return r == Resources{} }
--- a/task.go
+++ b/task.go
@@ -37,6 +37,7 @@
 		Submitted   Time        `json:"submitted"`
 		Epoch       Epoch       `json:"epoch"` // of the attempt in force or the last one
 		VM          string      `json:"vm,omitempty"`
+		LastVM      string      `json:"last-vm,omitempty"` // of the last attempt; empty before the first
 		Incarnation Incarnation `json:"incarnation,omitempty"`
 		Reserved    Resources   `json:"reserved"`
 		Checkpoint  Checkpoint  `json:"checkpoint"`
@@ -73,6 +74,7 @@
 		Weight   int       `json:"weight"`
 		MayStart []string  `json:"may-start,omitempty"`
 		Used     Resources `json:"used"`
+		Removed  bool      `json:"removed,omitempty"` // no longer declared, but still holds resources
 	}
 
 	// Attempt identifies one run of a task.
--- a/world.go
+++ b/world.go
@@ -19,6 +19,7 @@
 		Address     string      `json:"address"` // the agent's drpc address
 		Services    []string    `json:"services,omitempty"`
 		Incarnation Incarnation `json:"incarnation"`
+		Replaced    Incarnation `json:"replaced,omitempty"` // the incarnation before this one
 		Leaving     bool        `json:"leaving,omitempty"`
 		Since       Time        `json:"since"` // announced, or last returned
 
