--- a/internal/config/checker/checker_test.go
+++ b/internal/config/checker/checker_test.go
@@ -61,3 +61,20 @@
 	}
 	return kept
 }
+
+// All faults of a document must be found in one run, also those that only show
+// when its parts are compared.
+func TestDocumentReportsAllFaults(t *testing.T) {
+	const file = "testdata/faulty-document.json"
+	data, err := os.ReadFile(file)
+	require.NoError(t, err)
+	_, findings := checker.Document(file, data)
+	var paths []string
+	for _, f := range findings {
+		paths = append(paths, f.Path)
+	}
+	require.ElementsMatch(t, []string{
+		"number", "teams[0].may-start[1]", "teams[0].quota.cpu-millicores", "services[0].latency-target",
+		"services[0].idempotent-methods[1]", "services[0].domains", "jobs[0].resources",
+	}, paths)
+}
--- a/internal/config/checker/document.go
+++ b/internal/config/checker/document.go
@@ -16,6 +16,7 @@
 	maxReplicas = 10_000
 	maxTasks    = 100_000
 	maxPercent  = 100
+	maxPayload  = 4096
 )
 
 // Document reads and validates a document.
@@ -50,12 +51,17 @@
 	var j jaygw.JobSpec
 	findings := decoder.Decode(file, data, &j)
 	if len(findings) > 0 {
-		return j, findings
+		decoder.Lenient(data, &j)
 	}
 	c := &collector{file: file}
 	c.name("environment", j.Environment)
 	c.job("", j)
-	return j, c.findings
+	for _, f := range c.findings {
+		if !covered(findings, f) {
+			findings = append(findings, f)
+		}
+	}
+	return j, findings
 }
 
 // covered reports whether a finding is on a path that already has one.
@@ -79,13 +85,19 @@
 		c.reference(path+".team", "team", s.Team, teams)
 		c.references(path+".domains", "failure domain", s.Domains, domains)
 		c.service(path, s)
+		c.reachable(path, s.Team, s.Domains, d.Teams)
 	}
+	c.quotas(d)
 	for i, j := range d.Jobs {
 		path := fmt.Sprintf("jobs[%d]", i)
 		c.owner(path, j.Name, owners)
 		c.reference(path+".team", "team", j.Team, teams)
 		c.references(path+".domains", "failure domain", j.Domains, domains)
 		c.job(path+".", j)
+		c.reachable(path, j.Team, j.Domains, d.Teams)
+		if team, ok := teamOf(d, j.Team); ok && !j.Resources.Fits(team.Quota) {
+			c.find(path+".resources", "one task is larger than the quota of team %q and can never run", j.Team)
+		}
 		if j.Environment != "" && j.Environment != d.Environment {
 			c.find(path+".environment", "%q is not the document's environment", j.Environment)
 		}
@@ -93,6 +105,51 @@
 	c.documentLimits(d.Limits)
 }
 
+func teamOf(d jaygw.Document, name string) (jaygw.TeamSpec, bool) {
+	i := slices.IndexFunc(d.Teams, func(t jaygw.TeamSpec) bool { return t.Name == name })
+	if i < 0 {
+		return jaygw.TeamSpec{}, false
+	}
+	return d.Teams[i], true
+}
+
+// quotas compares what a team's services declare in total with its quota. Jobs
+// may wait for each other; services may not.
+func (c *collector) quotas(d jaygw.Document) {
+	for i, team := range d.Teams {
+		var sum jaygw.Resources
+		for _, s := range d.Services {
+			if s.Team == team.Name && s.Replicas <= maxReplicas && s.Resources.Fits(maxSize) {
+				for range s.Replicas {
+					sum = sum.Add(s.Resources)
+				}
+			}
+		}
+		path := fmt.Sprintf("teams[%d].quota", i)
+		if sum.CPU > team.Quota.CPU {
+			c.find(path+".cpu-millicores", "%d is less than the %d that the replicas of team %q declare", team.Quota.CPU, sum.CPU, team.Name)
+		}
+		if sum.Memory > team.Quota.Memory {
+			c.find(path+".memory-bytes", "%d is less than the %d that the replicas of team %q declare", team.Quota.Memory, sum.Memory, team.Name)
+		}
+		if sum.Accelerators > team.Quota.Accelerators {
+			c.find(path+".accelerators", "%d is less than the %d that the replicas of team %q declare",
+				team.Quota.Accelerators, sum.Accelerators, team.Name)
+		}
+	}
+}
+
+// reachable finds owners whose failure domains are all closed to their team.
+func (c *collector) reachable(path, team string, domains []string, teams []jaygw.TeamSpec) {
+	i := slices.IndexFunc(teams, func(t jaygw.TeamSpec) bool { return t.Name == team })
+	if i < 0 || len(domains) == 0 || len(teams[i].MayStart) == 0 {
+		return
+	}
+	if !slices.ContainsFunc(domains, func(d string) bool { return slices.Contains(teams[i].MayStart, d) }) {
+		c.find(path+".domains", "team %q may start in none of them", team)
+	}
+}
+
 func (c *collector) domains(specs []jaygw.DomainSpec) map[string]bool {
 	known := map[string]bool{}
 	if len(specs) == 0 {
@@ -145,6 +202,9 @@
 func (c *collector) references(path, kind string, names []string, known map[string]bool) {
 	for i, name := range names {
 		c.reference(fmt.Sprintf("%s[%d]", path, i), kind, name, known)
+		if slices.Index(names, name) < i {
+			c.find(fmt.Sprintf("%s[%d]", path, i), "%s %q is listed twice", kind, name)
+		}
 	}
 }
 
@@ -162,6 +222,9 @@
 	if s.LatencyTarget < 0 {
 		c.find(path+".latency-target", "must not be negative")
 	}
+	if s.Timeout > 0 && s.LatencyTarget > s.Timeout {
+		c.find(path+".latency-target", "%s is above the timeout of %s", s.LatencyTarget.Std(), s.Timeout.Std())
+	}
 	if s.MaxBody < 0 {
 		c.find(path+".max-body-bytes", "must not be negative")
 	}
@@ -172,6 +235,9 @@
 		if method != strings.ToUpper(method) || method == "" {
 			c.find(fmt.Sprintf("%s.idempotent-methods[%d]", path, i), "%q is not an HTTP method in upper case", method)
 		}
+		if slices.Index(s.IdempotentMethods, method) < i {
+			c.find(fmt.Sprintf("%s.idempotent-methods[%d]", path, i), "%q is listed twice", method)
+		}
 	}
 }
 
@@ -190,6 +256,9 @@
 	if j.MaxFailures < 0 {
 		c.find(prefix+"max-failures", "must not be negative")
 	}
+	if len(j.Payload) > maxPayload {
+		c.find(prefix+"payload", "is longer than %d bytes", maxPayload)
+	}
 }
 
 func (c *collector) documentLimits(l jaygw.Limits) {
--- a/internal/config/checker/settings.go
+++ b/internal/config/checker/settings.go
@@ -28,6 +28,9 @@
 	maxNameBytes   = 63
 )
 
+// maxSize is the largest size that the control state accepts.
+var maxSize = jaygw.Resources{CPU: 1 << 45, Memory: 1 << 45, Accelerators: 1 << 45}
+
 // Settings reads and validates the settings of a daemon.
 func Settings(file string, data []byte, role jaygw.Role) (jaygw.Settings, jaygw.Findings) {
 	var s jaygw.Settings
@@ -214,6 +217,9 @@
 	if r.Accelerators < 0 {
 		c.find(path+".accelerators", "must not be negative")
 	}
+	if !r.Fits(maxSize) {
+		c.find(path, "is larger than any VM or quota may be")
+	}
 }
 
 func (c *collector) limits(l jaygw.RequestLimits) {
--- a/internal/config/decoder/decoder.go
+++ b/internal/config/decoder/decoder.go
@@ -33,6 +33,7 @@
 		w.find("", "not valid JSON: %v", err)
 		return w.findings
 	}
+	w.repeated("", json.NewDecoder(bytes.NewReader(data)))
 	w.walk("", value, reflect.TypeOf(target).Elem())
 	if len(w.findings) > 0 {
 		return w.findings
@@ -56,6 +57,34 @@
 	return value, nil
 }
 
+// repeated reads one value of valid JSON and finds the keys that an object holds
+// twice: readers differ in which of the two values they show.
+func (w *walker) repeated(path string, d *json.Decoder) {
+	token, err := d.Token()
+	if err != nil {
+		return
+	}
+	switch token {
+	case json.Delim('['):
+		for i := 0; d.More(); i++ {
+			w.repeated(fmt.Sprintf("%s[%d]", path, i), d)
+		}
+		_, _ = d.Token()
+	case json.Delim('{'):
+		seen := map[string]bool{}
+		for d.More() {
+			key, _ := d.Token()
+			name, _ := key.(string)
+			if seen[name] {
+				w.find(join(path, name), "the key is repeated")
+			}
+			seen[name] = true
+			w.repeated(join(path, name), d)
+		}
+		_, _ = d.Token()
+	}
+}
+
 func (w *walker) find(path, format string, args ...any) {
 	w.findings = append(w.findings, jaygw.Finding{File: w.file, Path: path, Message: fmt.Sprintf(format, args...)})
 }
--- a/internal/operator/commander/documents.go
+++ b/internal/operator/commander/documents.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 
 	"github.com/jaygw/jaygw/internal/config/checker"
 	"github.com/jaygw/jaygw/internal/operator/client"
@@ -49,11 +48,21 @@
 		return err
 	}
 	return c.print(plan, func(t *text) {
+		if plan.InForce == "" {
+			t.line("environment %s has no document in force", plan.Environment)
+		} else {
+			t.line("environment %s, compared with document %d in force, digest %s", plan.Environment, plan.InForceNumber, plan.InForce)
+		}
 		if len(plan.Changes) == 0 {
 			t.line("nothing would change")
 		}
-		t.line("%s", strings.Join(plan.Changes, "\n"))
-		t.line("digest %s", plan.Digest)
+		for _, change := range plan.Changes {
+			t.line("  %s", change)
+		}
+		for _, effect := range plan.Effects {
+			t.line("effect: %s", effect)
+		}
+		t.line("document %d, digest to review and promote: %s", document.Number, plan.Digest)
 	})
 }
 
--- a/internal/operator/responder/api.go
+++ b/internal/operator/responder/api.go
@@ -36,6 +36,9 @@
 		InForce     string   `json:"in-force,omitempty"` // digest
 		Digest      string   `json:"digest"`
 		Changes     []string `json:"changes"`
+
+		InForceNumber uint64   `json:"in-force-number,omitempty"`
+		Effects       []string `json:"effects"` // what the changes do to running work
 	}
 
 	// StatusResponse describes the estate.
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -63,17 +65,8 @@
 }
 
 func (s *Responder) submit(w http.ResponseWriter, r *http.Request) {
-	var q SubmitRequest
-	if !read(w, r, &q) {
-		return
-	}
-	data, err := json.Marshal(q.Document)
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
-		return
-	}
-	if _, findings := checker.Document("", data); len(findings) > 0 {
-		writeJSON(w, http.StatusUnprocessableEntity, ErrorResponse{Error: "the document is not valid", Findings: findings})
+	q, ok := readDocument(w, r)
+	if !ok {
 		return
 	}
 	s.change(w, r, jaygw.Command{Submit: &jaygw.SubmitDocument{
@@ -91,8 +84,8 @@
 }
 
 func (s *Responder) plan(w http.ResponseWriter, r *http.Request) {
-	var q SubmitRequest
-	if !read(w, r, &q) || !s.confirm(w, r) {
+	q, ok := readDocument(w, r)
+	if !ok || !s.confirm(w, r) {
 		return
 	}
 	response := PlanResponse{Environment: q.Document.Environment, Digest: checker.Digest(q.Document)}
@@ -101,8 +94,10 @@
 		if e, ok := machine.State().Environments[q.Document.Environment]; ok && e.InForce != nil {
 			inForce = &e.InForce.Document
 			response.InForce = e.InForce.Digest
+			response.InForceNumber = e.InForce.Document.Number
 		}
 		response.Changes = planner.Plan(inForce, q.Document)
+		response.Effects = planner.Effects(inForce, q.Document, usageOf(machine.State(), q.Document.Environment))
 	})
 	writeJSON(w, http.StatusOK, response)
 }
@@ -113,10 +108,16 @@
 }
 
 func (s *Responder) submitJob(w http.ResponseWriter, r *http.Request) {
-	var spec jaygw.JobSpec
-	if read(w, r, &spec) {
-		s.change(w, r, jaygw.Command{SubmitJob: &jaygw.SubmitJob{Spec: spec}})
+	data, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	spec, findings := checker.Job("", data)
+	if len(findings) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, ErrorResponse{Error: "the job is not valid", Findings: findings})
+		return
 	}
+	s.change(w, r, jaygw.Command{SubmitJob: &jaygw.SubmitJob{Spec: spec}})
 }
 
 func (s *Responder) cancelJob(w http.ResponseWriter, r *http.Request) {
@@ -167,10 +168,47 @@
 	return http.StatusServiceUnavailable
 }
 
-func read(w http.ResponseWriter, r *http.Request, target any) bool {
-	var data json.RawMessage
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&data); err != nil {
+// readDocument reads a request with a document and validates both.
+func readDocument(w http.ResponseWriter, r *http.Request) (SubmitRequest, bool) {
+	var q SubmitRequest
+	if !read(w, r, &q) {
+		return q, false
+	}
+	data, err := json.Marshal(q.Document)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return q, false
+	}
+	if _, findings := checker.Document("", data); len(findings) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, ErrorResponse{Error: "the document is not valid", Findings: findings})
+		return q, false
+	}
+	return q, true
+}
+
+// usageOf returns what the teams of an environment use.
+func usageOf(state *applier.State, environment string) map[string]jaygw.Resources {
+	used := map[string]jaygw.Resources{}
+	for key, team := range state.Teams {
+		if name, ok := strings.CutPrefix(key, environment+"/"); ok {
+			used[name] = team.Used
+		}
+	}
+	return used
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
 		writeError(w, http.StatusBadRequest, err)
+		return nil, false
+	}
+	return data, true
+}
+
+func read(w http.ResponseWriter, r *http.Request, target any) bool {
+	data, ok := readBody(w, r)
+	if !ok {
 		return false
 	}
 	if findings := decoder.Decode("", data, target); len(findings) > 0 {
