Attribute interference by what is not yet known

Cause: normalized least mean squares gave most of a noisy job's effect to the quiet jobs that had more tasks on the VM; they were throttled and moved. Aged noisy jobs got reservations beside services. Change: a Kalman filter without covariances: owners with uncertain effects take the error, and an effect counts less its standard deviation. An owner is acted against only if it explains a quarter of the rise. Noisy jobs get no reservation and wait as long as some of their tasks run.

--- a/internal/schedule/estimator/interference.go
+++ b/internal/schedule/estimator/interference.go
@@ -24,9 +24,9 @@
 	pair struct{ service, owner string }
 
 	effect struct {
-		value  float64 // of one task
-		weight float64 // decayed number of samples
-		at     jaygw.Time
+		value    float64 // of one task
+		variance float64 // of the estimate; grows with time
+		at       jaygw.Time
 	}
 
 	// baseline is a service's latency without batch work.
@@ -51,15 +51,19 @@
 )
 
 const (
-	// learningRate is the share of a sample's error that its owners take over.
-	learningRate = 0.25
+	// unknownVariance is the variance of an effect that was never observed.
+	unknownVariance = 1.0
 
-	// effectHalfLife is the time after which half of the confidence in an effect
-	// is gone.
-	effectHalfLife = 10 * time.Minute
+	// sampleVariance is the variance of one reported rise around the sum of the
+	// effects.
+	sampleVariance = 0.01
 
-	// confidentAfter is the number of samples with a confidence of one half.
-	confidentAfter = 3
+	// driftVariance is added per second: after five minutes without samples, an
+	// effect of one task below 10% is no longer certain.
+	driftVariance = 3e-5
+
+	// forgottenAfter is when nothing is left of an effect.
+	forgottenAfter = time.Hour
 
 	// The baseline follows samples without batch work, and lower ones with it;
 	// it rises slowly otherwise, so that a lasting change is learned at last.
@@ -136,39 +140,44 @@
 	return 1 + rise
 }
 
-// learn moves the effects towards the sample, each by its part in the prediction
-// (normalized least mean squares).
+// learn moves the effects towards the sample: a Kalman filter without the
+// covariances. Owners of which little is known take most of the error.
 func (i *Interference) learn(service string, groups []group, rise float64, now jaygw.Time) {
-	expected, norm := 0.0, 0.0
+	expected, spread := 0.0, sampleVariance
 	effects := make([]*effect, len(groups))
 	for k, g := range groups {
-		effects[k] = i.effect(pair{service, g.owner}, now)
-		expected += effects[k].value * float64(g.tasks)
-		norm += float64(g.tasks * g.tasks)
+		e := i.effect(pair{service, g.owner}, now)
+		effects[k] = e
+		expected += e.value * float64(g.tasks)
+		spread += e.variance * float64(g.tasks*g.tasks)
 	}
 	for k, g := range groups {
 		e := effects[k]
-		rate := max(learningRate, 1/(1+e.weight))
-		e.value = max(0, e.value+rate*(rise-expected)*float64(g.tasks)/norm)
-		e.weight++
+		gain := e.variance * float64(g.tasks) / spread
+		e.value = max(0, e.value+gain*(rise-expected))
+		e.variance *= 1 - gain*float64(g.tasks)
 		if e.value >= noisyEffect {
 			i.noisy[g.owner] = true
 		}
 	}
 }
 
-// effect returns the pair's effect after the decay of its confidence.
+// effect returns the pair's effect as it is known now.
 func (i *Interference) effect(p pair, now jaygw.Time) *effect {
 	e, ok := i.pairs[p]
 	if !ok {
-		e = &effect{at: now}
+		e = &effect{variance: unknownVariance, at: now}
 		i.pairs[p] = e
 	}
-	e.weight *= decay(now.Sub(e.at), effectHalfLife)
+	e.variance = e.varianceAt(now)
 	e.at = now
 	return e
 }
 
+func (e *effect) varianceAt(now jaygw.Time) float64 {
+	return min(unknownVariance, e.variance+driftVariance*max(0, now.Sub(e.at).Seconds()))
+}
+
 func (i *Interference) ranAt(vm string, at jaygw.Time) []group {
 	h, ok := i.vms[vm]
 	if !ok {
@@ -190,20 +199,19 @@
 }
 
 // Effect returns the rise of the service's latency that one task of the owner
-// causes, as a share of the baseline, times the confidence in it.
+// causes, as a share of the baseline: the estimate less one standard deviation.
 func (i *Interference) Effect(service, owner string, now jaygw.Time) float64 {
 	e, ok := i.pairs[pair{service, owner}]
 	if !ok {
 		return 0
 	}
-	weight := e.weight * decay(now.Sub(e.at), effectHalfLife)
-	return e.value * weight / (weight + confidentAfter)
+	return max(0, e.value-math.Sqrt(e.varianceAt(now)))
 }
 
 // Forget drops effects without confidence and histories of VMs that are gone.
 func (i *Interference) Forget(known func(vm string) bool, now jaygw.Time) {
 	for p, e := range i.pairs {
-		if now.Sub(e.at) > 6*effectHalfLife {
+		if now.Sub(e.at) > forgottenAfter {
 			delete(i.pairs, p)
 			delete(i.noisy, p.owner)
 		}
--- a/internal/schedule/scheduler/place.go
+++ b/internal/schedule/scheduler/place.go
@@ -311,7 +311,7 @@
 			continue
 		}
 		rise := d.rise(service, n, owner)
-		if rise > allowedRise && task.Class == jaygw.Bulk && d.now.Sub(task.Submitted) < patience {
+		if rise > allowedRise && task.Class == jaygw.Bulk && (d.index.Running(owner) > 0 || d.now.Sub(task.Submitted) < patience) {
 			return placer.Never
 		}
 		cost += interferenceCost * rise
@@ -367,11 +367,12 @@
 }
 
 // oldestBlocked returns the team's first group that is aged, fits nowhere now, is
-// within the quota and has no reservation.
+// within the quota and has no reservation. Noisy work waits for its neighbors, not
+// for room.
 func (d *decision) oldestBlocked(team *placer.TeamQueue) *placer.Group {
 	var found *placer.Group
 	team.Groups(func(g *placer.Group) {
-		if found != nil || g.Shape == nil || !g.Shape.Blocked {
+		if found != nil || g.Shape == nil || !g.Shape.Blocked || g.Shape.Noisy {
 			return
 		}
 		if head := g.Head(); head != nil && d.now.Sub(head.Since) >= agedAfter && d.holds[head.ID] == nil &&
--- a/internal/schedule/scheduler/react.go
+++ b/internal/schedule/scheduler/react.go
@@ -37,12 +37,16 @@
 	// blameFloor is the rise below which an owner is not acted against.
 	blameFloor = 0.05
 
+	// blameShare is the part of the rise that an owner has to explain.
+	blameShare = 0.25
+
 	// allowedRise is the rise that the tasks placed beside a service may cause by
 	// their estimated effects. It is below what slowFactor reacts to.
 	allowedRise = 0.15
 
-	// patience is how long a noisy task waits for a VM without a service that it
-	// would slow. After that it starts, and the reactions limit it.
+	// patience is how long a noisy job of which nothing runs waits for a VM
+	// without a service that it would slow. After that one task starts, and the
+	// reactions limit it.
 	patience = 10 * time.Minute
 
 	// throttlePercent is what is left to a throttled attempt.
@@ -159,7 +163,7 @@
 		}
 		switch {
 		case worst >= slowFactor:
-			d.slowDown(vm, c, service)
+			d.slowDown(vm, c, service, worst-1)
 		case c.calm >= calmIntervals && len(c.throttles) > 0:
 			d.speedUp(vm, c)
 		}
@@ -199,7 +203,7 @@
 
 // slowDown throttles the batch owner that slows the service most, or moves one of
 // its tasks if they are throttled already.
-func (d *decision) slowDown(vm string, c *control, service string) {
+func (d *decision) slowDown(vm string, c *control, service string, rise float64) {
 	tasks := map[string][]*jaygw.Task{}
 	for _, id := range d.machine.TasksOn(vm) {
 		task := d.state.Tasks[id]
@@ -212,7 +216,7 @@
 	for owner, list := range tasks {
 		counts[owner] = len(list)
 	}
-	for _, owner := range d.interference.Worst(service, counts, blameFloor, d.now) {
+	for _, owner := range d.interference.Worst(service, counts, max(blameFloor, blameShare*rise), d.now) {
 		if d.throttle(vm, c, tasks[owner]) || d.moveAway(c, tasks[owner], service) {
 			return
 		}
