Let urgent work take the place of its own team's batch work

Cause: urgent tasks waited for minutes when their own team's bulk work filled its quota, or the VMs without being over its share. Change: evictions for urgent work may take bulk work of the same team as well.

--- a/internal/schedule/scheduler/moves.go
+++ b/internal/schedule/scheduler/moves.go
@@ -63,7 +63,7 @@
 		shape := &placer.Shape{Size: d.reserve(task), Domains: task.Domains, MayStart: team.MayStart}
 		if place := d.index.Find(d.request(task, shape)); place != nil {
 			d.hold(task.ID, &hold{node: place, size: shape.Size, since: d.now})
-		} else if !outranksBatch(task) || !d.makeRoom(task, shape) {
+		} else if !outranksBatch(task) || !d.makeRoom(task, shape, false) {
 			return
 		}
 	}
--- a/internal/schedule/scheduler/place.go
+++ b/internal/schedule/scheduler/place.go
@@ -144,7 +144,15 @@
 			team.Skip()
 			continue
 		}
-		if shape.Blocked && !important || !d.quotaAllows(task, shape.Size) {
+		if !d.quotaAllows(task, shape.Size) {
+			if task.Class != jaygw.Urgent || d.holds[task.ID] == nil && !d.makeRoom(task, shape, true) {
+				team.Skip()
+				continue
+			}
+			d.taken = append(d.taken, g.Take())
+			continue
+		}
+		if shape.Blocked && !important {
 			team.Skip()
 			continue
 		}
@@ -160,7 +168,7 @@
 			continue
 		}
 		team.Idle = false
-		if d.holds[task.ID] == nil && !d.makeRoom(task, shape) {
+		if d.holds[task.ID] == nil && !d.makeRoom(task, shape, false) {
 			team.Skip()
 			continue
 		}
--- a/internal/schedule/scheduler/preempt.go
+++ b/internal/schedule/scheduler/preempt.go
@@ -9,10 +9,20 @@
 	"github.com/jaygw/jaygw/internal/schedule/placer"
 )
 
-type victim struct {
-	task *jaygw.Task
-	lost time.Duration
-}
+type (
+	victim struct {
+		task *jaygw.Task
+		lost time.Duration
+	}
+
+	// want is what evictions on one VM have to free.
+	want struct {
+		size    jaygw.Resources // on the VM
+		team    string          // of the task that is to start
+		only    bool            // no other team's work
+		release jaygw.Resources // of the team's quota
+	}
+)
 
 const (
 	// maxSearches bounds the searches for tasks to evict in one decision.
@@ -26,9 +36,10 @@
 	searchInterval = 200 * time.Millisecond
 )
 
-// makeRoom evicts bulk batch work of teams over their share where the least work
-// is lost, and holds the place for the task.
-func (d *decision) makeRoom(task *jaygw.Task, shape *placer.Shape) bool {
+// makeRoom evicts bulk batch work where the least work is lost, and holds the
+// place for the task: work of teams over their share and of the task's own team, and
+// only of the latter if it has used up its quota.
+func (d *decision) makeRoom(task *jaygw.Task, shape *placer.Shape, own bool) bool {
 	if d.searches == maxSearches || shape.NextSearch > d.now {
 		return false
 	}
@@ -37,11 +48,15 @@
 	accept := func(n *placer.Node) bool {
 		return n.Open() && !d.health.probing(n.VM.Name) && shape.Size.Fits(n.Spare().Add(n.Bulk))
 	}
+	w := want{size: shape.Size, team: placer.TeamKey(task), only: own}
+	if own {
+		w.release = d.teamUse(w.team).Add(shape.Size).Sub(d.state.Teams[w.team].Quota).Max(jaygw.Resources{})
+	}
 	var best []victim
 	var place *placer.Node
 	bestLost := time.Duration(0)
 	for _, n := range d.index.Sample(r, searchedVMs, accept) {
-		victims, lost, ok := d.victims(n, shape.Size)
+		victims, lost, ok := d.victims(n, w)
 		if ok && (place == nil || lost < bestLost || lost == bestLost && n.VM.Name < place.VM.Name) {
 			best, place, bestLost = victims, n, lost
 		}
@@ -57,47 +72,54 @@
 	return true
 }
 
-// victims returns tasks on the VM that free the size, and the work that is lost
-// with them.
-func (d *decision) victims(n *placer.Node, size jaygw.Resources) ([]victim, time.Duration, bool) {
+// victims returns tasks on the VM that free what is wanted, and the work that is
+// lost with them.
+func (d *decision) victims(n *placer.Node, w want) ([]victim, time.Duration, bool) {
 	var candidates []victim
 	for _, id := range d.machine.TasksOn(n.VM.Name) {
 		task := d.state.Tasks[id]
-		if placer.Evictable(task) && !d.evicted[id] && d.overShare(placer.TeamKey(task)) {
+		if placer.Evictable(task) && !d.evicted[id] && d.mayEvict(task, w) {
 			candidates = append(candidates, victim{task, d.lostWork(task)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.task.ID, b.task.ID))
 	})
-	room := n.Spare()
+	room, released := n.Spare(), jaygw.Resources{}
+	enough := func() bool { return w.size.Fits(room) && w.release.Fits(released) }
 	var chosen []victim
 	for _, c := range candidates {
-		if size.Fits(room) {
+		if enough() {
 			break
 		}
-		if short(size, room, c.task.Reserved) {
-			room = room.Add(c.task.Reserved)
+		if short(w.size, room, c.task.Reserved) || short(w.release, released, c.task.Reserved) {
+			room, released = room.Add(c.task.Reserved), released.Add(c.task.Reserved)
 			chosen = append(chosen, c)
 		}
 	}
-	if !size.Fits(room) {
+	if !enough() {
 		return nil, 0, false
 	}
 	// A later, larger victim may have made an earlier one unnecessary.
 	lost := time.Duration(0)
 	kept := chosen[:0]
 	for _, c := range chosen {
-		if size.Fits(room.Sub(c.task.Reserved)) {
-			room = room.Sub(c.task.Reserved)
+		room, released = room.Sub(c.task.Reserved), released.Sub(c.task.Reserved)
+		if enough() {
 			continue
 		}
+		room, released = room.Add(c.task.Reserved), released.Add(c.task.Reserved)
 		kept = append(kept, c)
 		lost += c.lost
 	}
 	return kept, lost, true
 }
 
+func (d *decision) mayEvict(task *jaygw.Task, w want) bool {
+	key := placer.TeamKey(task)
+	return key == w.team || !w.only && d.overShare(key)
+}
+
 // short reports whether the release adds to a resource that does not suffice.
 func short(size, room, release jaygw.Resources) bool {
 	return size.CPU > room.CPU && release.CPU > 0 || size.Memory > room.Memory && release.Memory > 0 ||
--- a/internal/schedule/scheduler/scheduler_test.go
+++ b/internal/schedule/scheduler/scheduler_test.go
@@ -170,6 +170,22 @@
 	require.Equal(t, 1, e.count("fair", jaygw.Running))
 }
 
+// Urgent work must not wait for bulk work of its own team that has used up the
+// quota.
+func TestUrgentWorkTakesTheQuotaOfItsTeam(t *testing.T) {
+	e := newEstate(t)
+	e.promote(jaygw.Document{Teams: teams(size(4, 1000), "a")})
+	for i := range 2 {
+		e.announce(fmt.Sprint("vm-", i), "x", 1, size(8, 64))
+	}
+	e.submit(jaygw.JobSpec{Name: "bulk", Team: "a", Tasks: 4, Resources: size(1, 1)})
+	e.settle()
+	e.submit(jaygw.JobSpec{Name: "now", Team: "a", Tasks: 1, Resources: size(2, 1), Urgent: true})
+	e.settle()
+	require.Equal(t, 1, e.count("now", jaygw.Running))
+	require.Equal(t, 2, e.count("bulk", jaygw.Running))
+}
+
 // A domain that leaves must not take services down faster than they may move, nor
 // let batch work take the places that they move to.
 func TestServicesLeaveADomainFirstAtTheRate(t *testing.T) {
