Let batch work that ends soon finish in a domain that is out

Change: work that is expected to end within 3 minutes of the domain's leaving stays and writes a checkpoint every 30 s; the rest is stopped with a checkpoint as before. VMs that leave by themselves are emptied at once.

--- a/internal/load/experimenter/baseline.go
+++ b/internal/load/experimenter/baseline.go
@@ -39,7 +39,7 @@
 func (b *Baseline) Observe(*applier.Machine, string, []jaygw.Usage, jaygw.Time) {}
 
 // Orders returns nothing.
-func (b *Baseline) Orders(string) []jaygw.Order { return nil }
+func (b *Baseline) Orders(string, jaygw.Time) []jaygw.Order { return nil }
 
 // Decide looks at every task and every VM.
 func (b *Baseline) Decide(machine *applier.Machine, now jaygw.Time) []jaygw.Command {
--- a/internal/load/experimenter/world.go
+++ b/internal/load/experimenter/world.go
@@ -20,7 +20,7 @@
 		jaygw.Observer
 		Decide(machine *applier.Machine, now jaygw.Time) []jaygw.Command
 		Observe(machine *applier.Machine, vm string, usage []jaygw.Usage, now jaygw.Time)
-		Orders(vm string) []jaygw.Order
+		Orders(vm string, now jaygw.Time) []jaygw.Order
 	}
 
 	// world runs one scenario under one policy.
@@ -309,9 +309,15 @@
 		k.reports = k.reports[1:]
 		w.policy.Observe(w.machine, k.name, first.usage, w.now)
 	}
-	for _, order := range w.policy.Orders(k.name) {
-		if r := k.running[order.Attempt]; r != nil && order.Action == jaygw.ActionThrottle {
+	for _, order := range w.policy.Orders(k.name, w.now) {
+		r := k.running[order.Attempt]
+		switch {
+		case r == nil:
+		case order.Action == jaygw.ActionThrottle:
 			r.percent = order.Percent
+		case order.Action == jaygw.ActionCheckpoint && r.script != nil:
+			r.saved, r.savedAt = r.progress, w.now
+			w.report(k, r.task, jaygw.Checkpointed, r.progress)
 		}
 	}
 }
--- a/internal/schedule/dispatcher/renew.go
+++ b/internal/schedule/dispatcher/renew.go
@@ -142,7 +142,7 @@
 	result.Revision, _ = d.notes.ofVM(r.VM)
 	d.replica.Read(func(machine *applier.Machine) {
 		failure = fill(&result, machine, r)
-		result.Orders = append(result.Orders, d.scheduler.Orders(r.VM)...)
+		result.Orders = append(result.Orders, d.scheduler.Orders(r.VM, max(machine.State().Time, jaygw.TimeOf(time.Now())))...)
 	})
 	if failure == nil {
 		d.lessor.Granted(r.VM, r.Incarnation, time.Now(), terms)
--- a/internal/schedule/placer/index.go
+++ b/internal/schedule/placer/index.go
@@ -29,6 +29,7 @@
 	Domain struct {
 		Name     string
 		Out      bool
+		Since    jaygw.Time // the last change of Out
 		Returned jaygw.Time // zero unless the domain was seen to be out
 		tree     tree
 		owners   map[string]int
@@ -206,7 +207,7 @@
 		d.Returned = domain.Since
 	}
 	d.Members(func(n *Node) { x.count(n, -1) })
-	d.Out = domain.Out
+	d.Out, d.Since = domain.Out, domain.Since
 	d.Members(func(n *Node) {
 		x.count(n, 1)
 		x.update(n)
--- a/internal/schedule/scheduler/moves.go
+++ b/internal/schedule/scheduler/moves.go
@@ -16,14 +16,30 @@
 const (
 	defaultRampUp = 10 * time.Second
 
+	// drainTime is how long batch work may go on in a domain that is out, if it is
+	// expected to end by then. Stopping it would cost an eviction and give its
+	// last minutes to the other VMs.
+	drainTime = 3 * time.Minute
+
+	// checkpointInterval bounds the work that is lost if the domain goes while it
+	// is drained.
+	checkpointInterval = 30 * time.Second
+
+	// drainInterval bounds the cost of looking at a large domain that leaves.
+	drainInterval = 100 * time.Millisecond
+
 	// rampSteps is in how many steps a returning VM is opened.
 	rampSteps = 10
 )
 
 // leave moves what runs on VMs that are leaving or in a domain that is out:
-// services first, each once it has a place, and batch work, which is stopped with
-// a checkpoint.
+// services first, each once it has a place, and batch work, which writes a
+// checkpoint and is stopped unless it ends soon.
 func (d *decision) leave() {
+	if d.now.Sub(d.drained) < drainInterval {
+		return
+	}
+	d.drained = d.now
 	leaving := d.index.Leaving()
 	if len(leaving) == 0 {
 		return
@@ -43,7 +59,33 @@
 		}
 	}
 	for _, task := range batch {
-		d.evict(task, leavingReason(d.index.Node(task.VM)))
+		n := d.index.Node(task.VM)
+		if d.mayFinish(task, n) {
+			d.orderCheckpoint(task)
+		} else {
+			d.evict(task, leavingReason(n))
+		}
+	}
+}
+
+// mayFinish reports whether the task is likely to end while its domain is
+// drained. A VM that is leaving by itself has no time for that.
+func (d *decision) mayFinish(task *jaygw.Task, n *placer.Node) bool {
+	if n.VM.Leaving || task.State != jaygw.Running {
+		return false
+	}
+	done := d.bases[task.ID].Std() + d.now.Sub(task.Since)
+	left := d.usage.RunTime(placer.OwnerKey(task), task.RunTime.Std()) - done
+	return d.now.Add(left).Sub(n.Domain.Since) <= drainTime && d.now.Sub(n.Domain.Since) < drainTime
+}
+
+// orderCheckpoint asks for a checkpoint now and then, so that little is lost if
+// the domain goes before the task has ended.
+func (d *decision) orderCheckpoint(task *jaygw.Task) {
+	c := d.control(task.VM)
+	if at, ok := c.checkpoints[task.Attempt()]; !ok || d.now.Sub(at) >= checkpointInterval {
+		c.checkpoints[task.Attempt()] = d.now
+		d.ordersFor[task.VM] = true
 	}
 }
 
--- a/internal/schedule/scheduler/observe.go
+++ b/internal/schedule/scheduler/observe.go
@@ -28,6 +28,7 @@
 	s.stuck = map[string]string{}
 	s.pending = map[string]bool{}
 	s.quarantineShare = 20
+	s.second, s.drained = 0, 0
 	s.stale = true
 }
 
@@ -167,7 +168,10 @@
 		s.Reset()
 	default:
 		s.index.SetVM(after)
-		s.ramping = s.ramping || before.Leaving != after.Leaving
+		if before.Leaving != after.Leaving {
+			s.ramping = true
+			s.second, s.drained = 0, 0
+		}
 	}
 }
 
@@ -184,7 +188,7 @@
 	}
 	s.index.SetDomain(after)
 	s.ramping = true
-	s.second = 0
+	s.second, s.drained = 0, 0
 }
 
 // DocumentChanged notes that sizes, quotas and rights may have changed.
--- a/internal/schedule/scheduler/react.go
+++ b/internal/schedule/scheduler/react.go
@@ -14,9 +14,11 @@
 		services  map[string]latency
 		throttles map[jaygw.Attempt]int // share of the size left, in percent
 		lifted    map[jaygw.Attempt]jaygw.Time
-		acted     jaygw.Time
-		calm      int // lag intervals without interference
-		checked   jaygw.Time
+		// checkpoints are the attempts that were asked for a checkpoint, and when.
+		checkpoints map[jaygw.Attempt]jaygw.Time
+		acted       jaygw.Time
+		calm        int // lag intervals without interference
+		checked     jaygw.Time
 	}
 
 	latency struct {
@@ -79,6 +81,7 @@
 	if !ok {
 		c = &control{
 			services: map[string]latency{}, throttles: map[jaygw.Attempt]int{}, lifted: map[jaygw.Attempt]jaygw.Time{},
+			checkpoints: map[jaygw.Attempt]jaygw.Time{},
 		}
 		s.controls[vm] = c
 	}
@@ -104,11 +107,13 @@
 func (c *control) drop(attempt jaygw.Attempt) {
 	delete(c.throttles, attempt)
 	delete(c.lifted, attempt)
+	delete(c.checkpoints, attempt)
 }
 
 // Orders returns what the VM is to do with attempts besides starting and
-// stopping them.
-func (s *Scheduler) Orders(vm string) []jaygw.Order {
+// stopping them. Throttles are repeated in each response; a checkpoint is asked
+// for in those of the next second.
+func (s *Scheduler) Orders(vm string, now jaygw.Time) []jaygw.Order {
 	c, ok := s.controls[vm]
 	if !ok {
 		return nil
@@ -120,6 +125,11 @@
 	for attempt := range c.lifted {
 		orders = append(orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionThrottle, Percent: 100})
 	}
+	for attempt, at := range c.checkpoints {
+		if now.Sub(at) <= jaygw.RenewalInterval {
+			orders = append(orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionCheckpoint})
+		}
+	}
 	slices.SortFunc(orders, func(a, b jaygw.Order) int { return compareTasks(a.Attempt.Task, b.Attempt.Task) })
 	return orders
 }
--- a/internal/schedule/scheduler/scheduler.go
+++ b/internal/schedule/scheduler/scheduler.go
@@ -37,9 +37,10 @@
 		quarantineShare int
 		weights         float64 // of all teams
 		ramping         bool
-		stale           bool // the index has to be built again
-		documents       bool // a document in force has changed
-		second          jaygw.Time
+		stale           bool       // the index has to be built again
+		documents       bool       // a document in force has changed
+		second          jaygw.Time // of the last housekeeping
+		drained         jaygw.Time // the last look at VMs that are leaving
 
 		withoutInterference bool
 		withoutEstimates    bool
--- a/internal/schedule/scheduler/scheduler_test.go
+++ b/internal/schedule/scheduler/scheduler_test.go
@@ -199,7 +199,9 @@
 		e.announce(fmt.Sprint("vm-", i), []string{"x", "y", "z"}[i%3], 1, size(8, 64))
 	}
 	e.settle()
-	e.submit(jaygw.JobSpec{Name: "batch", Team: "b", Tasks: 100, Resources: size(1, 1)})
+	e.submit(jaygw.JobSpec{Name: "batch", Team: "b", Tasks: 100, Resources: size(1, 1), RunTime: jaygw.Duration(time.Hour)})
+	e.settle()
+	e.pass(20 * time.Second) // without reports, new jobs are limited for a while
 	e.settle()
 	e.setDomain("x", true)
 	for second := range 3 {
@@ -224,6 +226,28 @@
 	require.Equal(t, 8, onVM(e, "batch", "vm-0"))
 }
 
+// Batch work that is about to end must not be evicted from a domain that is out,
+// and must not stay for longer than the drain takes.
+func TestWorkThatEndsSoonStaysInADrainedDomain(t *testing.T) {
+	e := newEstate(t)
+	e.promote(jaygw.Document{Teams: teams(size(1000, 1000), "a")})
+	e.announce("vm-0", "x", 1, size(8, 64))
+	e.submit(jaygw.JobSpec{Name: "short", Team: "a", Tasks: 1, Resources: size(1, 1), RunTime: jaygw.Duration(2 * time.Minute)})
+	e.submit(jaygw.JobSpec{Name: "long", Team: "a", Tasks: 1, Resources: size(1, 1), RunTime: jaygw.Duration(20 * time.Minute)})
+	e.settle()
+	e.setDomain("x", true)
+	e.settle()
+	require.Equal(t, 1, e.count("short", jaygw.Running))
+	require.Equal(t, 1, e.count("long", jaygw.Waiting))
+	require.Equal(t, []jaygw.Order{{Attempt: e.task("short/0").Attempt(), Action: jaygw.ActionCheckpoint}},
+		e.scheduler.Orders("vm-0", e.now))
+	e.pass(2 * time.Minute)
+	e.settle()
+	e.pass(time.Minute)
+	e.settle()
+	require.Equal(t, 1, e.count("short", jaygw.Waiting))
+}
+
 func onVM(e *estate, owner, vm string) int {
 	count := 0
 	for _, id := range e.machine.TasksOn(vm) {
