--- a/internal/schedule/dispatcher/export_test.go
+++ b/internal/schedule/dispatcher/export_test.go
@@ -37,3 +37,6 @@
 func (d Decider) Settled(c jaygw.Command, err error) { d.d.settled(c, err) }
 
 func (d Decider) Silent(vm string, now time.Time) bool { return d.d.lessor.Silent(vm, now) }
+
+// Observer keeps the scheduler's index current.
+func (d Decider) Observer() jaygw.Observer { return d.d.scheduler }
--- a/internal/schedule/dispatcher/world_test.go
+++ b/internal/schedule/dispatcher/world_test.go
@@ -201,6 +201,7 @@
 		w.last = old
 	}
 	w.leader = &leader{Decider: dispatcher.NewDecider(term, w.now), term: term, machine: w.machine}
+	w.machine.Observe(w.leader.Observer())
 	w.work(w.leader)
 }
 
