Run the control state on several replicas

The coordinator kept the state of one replica in one file and answered reads without asking anyone.

It now joins the consensus core, the log on disk, one persistent drpc stream per peer and the state machine. Decisions of the dispatcher are bound to their term: an expired lease must not be decided at a later leader. Connections end 3 s after data stays unacknowledged. Connections between processes use TLS with the settings' files, both sides verified.

--- a/command.go
+++ b/command.go
@@ -24,6 +24,14 @@
 		Settle     *SettleKeys      `cbor:"21,keyasint,omitempty"`
 		RemoveVM   *RemoveVM        `cbor:"22,keyasint,omitempty"`
 		Resize     *ResizeTasks     `cbor:"23,keyasint,omitempty"`
+		Members    *ChangeMembers   `cbor:"24,keyasint,omitempty"`
+	}
+
+	// ChangeMembers adds a replica to the control group or removes one. It changes
+	// the replicated log itself, not the state machine.
+	ChangeMembers struct {
+		Add    *Member `cbor:"1,keyasint,omitempty"`
+		Remove uint64  `cbor:"2,keyasint,omitempty"`
 	}
 
 	// SubmitDocument puts a document on trial.
--- a/control.go
+++ b/control.go
@@ -112,6 +112,22 @@
 	}
 )
 
+// termKey carries the term of a decision in a context.
+type termKey struct{}
+
+// InTerm returns a context whose proposals are committed by the leader of one
+// term or not at all. A decision from the soft state of a leader, such as the end
+// of a lease, must not reach a later leader.
+func InTerm(ctx context.Context, term uint64) context.Context {
+	return context.WithValue(ctx, termKey{}, term)
+}
+
+// TermOf returns the term of InTerm, or zero.
+func TermOf(ctx context.Context) uint64 {
+	term, _ := ctx.Value(termKey{}).(uint64)
+	return term
+}
+
 const (
 	// WorkerRunning attempts run.
 	WorkerRunning WorkerTaskState = "running"
--- /dev/null
+++ b/internal/control/coordinator/peer.go
@@ -0,0 +1,142 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/replicator"
+	"github.com/jaygw/jaygw/internal/wire/encoder"
+	"github.com/jaygw/jaygw/internal/wire/messenger"
+)
+
+type (
+	// peer keeps one stream of consensus messages to another replica.
+	peer struct {
+		address  string
+		messages chan replicator.Message
+		cancel   context.CancelFunc
+		done     chan struct{}
+	}
+
+	// envelope is the body of a Step message. The address lets a new member answer
+	// before it knows the members.
+	envelope struct {
+		Address string             `cbor:"1,keyasint"`
+		Message replicator.Message `cbor:"2,keyasint"`
+	}
+)
+
+// send queues messages for their receivers. A message that finds its queue full
+// is dropped, as the network might do.
+func (r *Replica) send(ctx context.Context, messages []replicator.Message) {
+	for _, m := range messages {
+		p := r.peer(ctx, m.To)
+		if p == nil {
+			continue
+		}
+		select {
+		case p.messages <- m:
+		default:
+		}
+	}
+}
+
+func (r *Replica) peer(ctx context.Context, id uint64) *peer {
+	address := r.addresses[id]
+	for _, m := range r.core.Members() {
+		if m.ID == id {
+			address = m.Address
+		}
+	}
+	p := r.peers[id]
+	if p != nil && p.address == address || address == "" {
+		return p
+	}
+	if p != nil {
+		p.cancel()
+	}
+	p = &peer{address: address, messages: make(chan replicator.Message, peerQueue), done: make(chan struct{})}
+	ctx, p.cancel = context.WithCancel(ctx)
+	r.peers[id] = p
+	go r.serve(ctx, p)
+	return p
+}
+
+// serve sends a peer's messages until the context ends.
+func (r *Replica) serve(ctx context.Context, p *peer) {
+	defer close(p.done)
+	var stream messenger.DRPCGroup_StepClient
+	defer func() { closeStream(stream) }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.messages:
+			sent := r.transmit(ctx, p, &stream, m)
+			if !sent && stream == nil { // the peer may have closed an idle stream
+				sent = r.transmit(ctx, p, &stream, m)
+			}
+			if !sent {
+				r.pause(ctx, peerPause)
+			}
+		}
+	}
+}
+
+func (r *Replica) transmit(ctx context.Context, p *peer, stream *messenger.DRPCGroup_StepClient, m replicator.Message) bool {
+	if m.Kind == replicator.Chunk {
+		data, err := r.journal.ReadSnapshot(m.Meta.Index, m.Offset, m.Length)
+		if err != nil {
+			return true // a newer snapshot has taken its place
+		}
+		m.Data = data
+	}
+	body, err := encoder.Marshal(envelope{Address: r.settings.Self.Address, Message: m})
+	if err != nil {
+		return true
+	}
+	if *stream == nil {
+		if *stream, err = messenger.NewDRPCGroupClient(r.dialer.Conn(ctx, p.address)).Step(ctx); err != nil {
+			*stream = nil
+			return false
+		}
+	}
+	err = (*stream).Send(&messenger.StepMessage{Group: r.settings.Group, From: m.From, To: m.To, Body: body})
+	if err != nil {
+		closeStream(*stream)
+		*stream = nil
+	}
+	return err == nil
+}
+
+func closeStream(stream messenger.DRPCGroup_StepClient) {
+	if stream != nil {
+		stream.Close()
+	}
+}
+
+// Receive takes the messages of another replica's stream until it ends. A message
+// that cannot be read or is for another replica ends it.
+func (r *Replica) Receive(stream messenger.DRPCGroup_StepStream) error {
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&messenger.StepDone{})
+		}
+		if err != nil {
+			return err
+		}
+		if m.Group != r.settings.Group {
+			return jaygw.ErrWrongGroup
+		}
+		var e envelope
+		if err := encoder.Unmarshal(m.Body, &e); err != nil || e.Message.To != r.settings.Self.ID || m.From != e.Message.From {
+			return jaygw.ErrInvalidMessage
+		}
+		if err := r.enqueue(stream.Context(), event{input: replicator.Input{Message: &e.Message}, address: e.Address}); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -68,6 +68,10 @@
 // Term returns the term.
 func (c *Core) Term() uint64 { return c.ballot.Term }
 
+// Leads reports whether the replica leads and has applied, up to an index,
+// everything that earlier leaders had committed.
+func (c *Core) Leads(applied uint64) bool { return c.role == Leader && applied >= c.first }
+
 // Leader returns the leader's id, or zero.
 func (c *Core) Leader() uint64 { return c.leader }
 
@@ -88,6 +92,9 @@
 	role, term, leader, ballot := c.role, c.ballot.Term, c.leader, c.ballot
 	if c.deadline == 0 {
 		c.resetDeadline()
+		if ids := voters(c.Members()); len(ids) == 1 && ids[0] == c.config.ID {
+			c.deadline = now // nobody else could lead
+		}
 	}
 	for i := range inputs {
 		c.handle(&inputs[i])
@@ -148,7 +155,7 @@
 }
 
 func (c *Core) propose(p *Proposal) {
-	if c.role != Leader {
+	if c.role != Leader || p.Term != 0 && p.Term != c.ballot.Term {
 		c.out.Appended = append(c.out.Appended, Appended{ID: p.ID, Err: jaygw.ErrNotLeader})
 		return
 	}
--- a/internal/control/replicator/types.go
+++ b/internal/control/replicator/types.go
@@ -76,6 +76,7 @@
 	// unless the log is already later.
 	Proposal struct {
 		ID   uint64
+		Term uint64 // the only term in which to append it; zero: any
 		Wall jaygw.Time
 		Data []byte
 	}
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/coordinator"
 	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
 	"github.com/jaygw/jaygw/internal/wire/converter"
+	"github.com/jaygw/jaygw/internal/wire/dialer"
 	"github.com/jaygw/jaygw/internal/wire/encoder"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 )
@@ -21,22 +23,69 @@
 		group      string
 		control    jaygw.Control
 		dispatcher *dispatcher.Dispatcher
+		dialer     *dialer.Dialer
+	}
+
+	// Option changes a new Server.
+	Option func(*Server)
+
+	// receiver takes the consensus messages of other replicas.
+	receiver interface {
+		Receive(stream messenger.DRPCGroup_StepStream) error
 	}
 )
 
 const maxHold = time.Second
 
+// WithDialer makes a replica that does not lead forward calls to the leader.
+func WithDialer(d *dialer.Dialer) Option { return func(s *Server) { s.dialer = d } }
+
 // New returns the server of a replica and its dispatcher.
-func New(group string, control jaygw.Control, d *dispatcher.Dispatcher) *Server {
-	return &Server{group: group, control: control, dispatcher: d}
+func New(group string, control jaygw.Control, d *dispatcher.Dispatcher, options ...Option) *Server {
+	s := &Server{group: group, control: control, dispatcher: d}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Step takes the consensus messages of another replica.
+func (s *Server) Step(stream messenger.DRPCGroup_StepStream) error {
+	replica, ok := s.control.(receiver)
+	if !ok {
+		return jaygw.ErrNotLeader
+	}
+	return replica.Receive(stream)
+}
+
+// leader returns the leader's server if another replica leads. A call that was
+// forwarded is not forwarded again, so that two replicas that take each other for
+// the leader do not pass it back and forth.
+func (s *Server) leader(ctx context.Context, forwarded bool) (messenger.DRPCGroupClient, bool) {
+	status := s.control.Status()
+	if s.dialer == nil || forwarded || status.Leader == status.ID {
+		return nil, false
+	}
+	for _, m := range status.Members {
+		if m.ID == status.Leader {
+			return messenger.NewDRPCGroupClient(s.dialer.Conn(ctx, m.Address)), true
+		}
+	}
+	return nil, false
 }
 
 // Propose commits a command.
 func (s *Server) Propose(ctx context.Context, m *messenger.ProposeRequest) (*messenger.ProposeResponse, error) {
+	if m.Group != s.group {
+		return proposeFailure(jaygw.ErrWrongGroup), nil
+	}
 	var command jaygw.Command
 	if err := encoder.Unmarshal(m.Command, &command); err != nil {
 		return proposeFailure(jaygw.ErrInvalidMessage), nil
 	}
+	if m.Forwarded {
+		ctx = coordinator.Forwarded(ctx)
+	}
 	result, err := s.control.Propose(ctx, command)
 	if err != nil {
 		return proposeFailure(err), nil
@@ -54,6 +103,10 @@
 	if m.Group != s.group {
 		return &messenger.RenewResponse{Error: messenger.ErrorCode_ERROR_CODE_WRONG_GROUP}, nil
 	}
+	if leader, ok := s.leader(ctx, m.Forwarded); ok {
+		m.Forwarded = true
+		return leader.Renew(ctx, m)
+	}
 	result, err := s.dispatcher.Renew(ctx, converter.Renewal(m))
 	if err != nil {
 		return &messenger.RenewResponse{Error: converter.ErrorCode(err)}, nil
@@ -67,6 +120,10 @@
 	if m.Group != s.group {
 		return &messenger.WatchResponse{Error: messenger.ErrorCode_ERROR_CODE_WRONG_GROUP}, nil
 	}
+	if leader, ok := s.leader(ctx, m.Forwarded); ok {
+		m.Forwarded = true
+		return leader.Watch(ctx, m)
+	}
 	view, err := s.dispatcher.Watch(ctx, dispatcher.Seen{
 		Term: m.Term, Revision: m.Revision, Hold: min(time.Duration(m.HoldNanos), maxHold),
 	})
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 		log       *logrus.Logger
 		recorder  *recorder.Recorder
 		dialer    *dialer.Dialer
+		tls       *tls.Config
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
 	}
@@ -64,7 +66,6 @@
 	p := &Process{
 		settings: settings,
 		recorder: recorder.New(settings.Name, settings.Domain),
-		dialer:   dialer.New(),
 		mux:      drpcmux.New(),
 	}
 	for _, option := range options {
@@ -79,13 +80,17 @@
 // Run runs the process in a role until the context ends and everything in flight
 // has finished.
 func (p *Process) Run(ctx context.Context, role jaygw.Role) error {
+	var err error
+	if p.tls, err = dialer.ReadTLS(p.settings.TLS); err != nil {
+		return err
+	}
+	p.dialer = dialer.New(dialer.WithTLS(p.tls))
 	if err := p.open(); err != nil {
 		return err
 	}
 	defer p.dialer.Close()
 	p.group, ctx = errgroup.WithContext(ctx)
 	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
-	var err error
 	switch role {
 	case jaygw.RoleAgent:
 		err = p.startAgent(ctx)
@@ -97,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	p.group.Go(func() error { return dialer.Serve(ctx, p.listeners.Processes, p.mux) })
+	p.group.Go(func() error { return dialer.Serve(ctx, dialer.Listen(p.listeners.Processes, p.tls), p.mux) })
 	p.log.Infof("%s: started as %s, processes at %s", role, p.settings.Name, p.listeners.Processes.Addr())
 	err = p.group.Wait()
 	p.log.Infof("%s: stopped", role)
--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -23,8 +23,12 @@
 		applier.WithObserver(&narrator{recorder: p.recorder}))
 	self := jaygw.Member{ID: control.ID, Name: p.settings.Name, Address: p.address(), Domain: p.settings.Domain, Voter: true}
 	replica, err := coordinator.Open(
-		coordinator.Settings{Group: p.settings.Group, Self: self, Folder: control.DataFolder},
+		coordinator.Settings{
+			Group: p.settings.Group, Self: self, Folder: control.DataFolder, Members: control.Members, Join: control.Join,
+		},
 		machine,
+		coordinator.WithDialer(p.dialer),
+		coordinator.WithLogger(p.log),
 		coordinator.WithLeadershipHook(func(l coordinator.Leadership) {
 			scheduling.Lead(l.Term, l.Leads, time.Now())
 			if l.Leads {
@@ -35,7 +39,7 @@
 		return err
 	}
 	scheduling.Serve(replica)
-	if err := messenger.DRPCRegisterGroup(p.mux, server.New(p.settings.Group, replica, scheduling)); err != nil {
+	if err := messenger.DRPCRegisterGroup(p.mux, server.New(p.settings.Group, replica, scheduling, server.WithDialer(p.dialer))); err != nil {
 		return err
 	}
 	p.group.Go(func() error { return replica.Run(ctx) })
--- a/internal/schedule/dispatcher/dispatcher.go
+++ b/internal/schedule/dispatcher/dispatcher.go
@@ -117,6 +117,7 @@
 		}
 		commands = append(commands, d.scheduler.Decide(machine, max(machine.State().Time, jaygw.TimeOf(now)))...)
 	})
+	ctx = jaygw.InTerm(ctx, d.term)
 	d.mu.Unlock()
 	for _, command := range commands {
 		if _, err := d.replica.Propose(ctx, command); err != nil {
--- a/internal/wire/dialer/dialer.go
+++ b/internal/wire/dialer/dialer.go
@@ -3,10 +3,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
@@ -21,6 +25,8 @@
 	Dialer struct {
 		pool    *drpcpool.Pool[string, drpcpool.Conn]
 		timeout time.Duration
+		tls     *tls.Config // nil: plain TCP
+		wrap    func(net.Conn) net.Conn
 	}
 
 	// Option changes a new Dialer.
@@ -37,6 +43,11 @@
 	defaultDialTime   = time.Second
 	softCancelGrace   = 5 * time.Millisecond
 	inactivityTimeout = 2 * time.Minute
+
+	// unacknowledgedTimeout ends a connection whose peer is gone without a word.
+	// Otherwise TCP would try again at growing intervals, and a stream would stay
+	// silent for a minute after a partition of a minute.
+	unacknowledgedTimeout = 3 * time.Second
 )
 
 // WithTimeout sets the longest time to open a connection.
@@ -44,6 +55,16 @@
 	return func(d *Dialer) { d.timeout = timeout }
 }
 
+// WithTLS makes connections with a configuration from ReadTLS.
+func WithTLS(config *tls.Config) Option {
+	return func(d *Dialer) { d.tls = config }
+}
+
+// WithWrapper passes each new connection through a function, before TLS.
+func WithWrapper(wrap func(net.Conn) net.Conn) Option {
+	return func(d *Dialer) { d.wrap = wrap }
+}
+
 // New returns a dialer without connections.
 func New(options ...Option) *Dialer {
 	d := &Dialer{
@@ -70,13 +91,32 @@
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := (&net.Dialer{Control: limitUnacknowledged}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
 	}
+	if d.wrap != nil {
+		conn = d.wrap(conn)
+	}
+	if d.tls != nil {
+		secured := tls.Client(conn, d.tls)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			conn.Close()
+			return nil, eris.Wrapf(err, "verify %s", address)
+		}
+		conn = secured
+	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // Serve accepts connections until the context ends.
 func Serve(ctx context.Context, listener net.Listener, handler drpc.Handler) error {
 	options := managerOptions()
--- /dev/null
+++ b/internal/wire/dialer/tls.go
@@ -0,0 +1,47 @@
+package dialer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+
+	"github.com/jaygw/jaygw"
+	"github.com/rotisserie/eris"
+)
+
+// ReadTLS returns the configuration for both sides of the connections between
+// processes: each side shows a certificate of the installation's own CA and
+// verifies the other's. It returns nil without settings.
+func ReadTLS(settings *jaygw.TLSSettings) (*tls.Config, error) {
+	if settings == nil {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(settings.CAFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the CA's certificate")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate in PEM form", settings.CAFile)
+	}
+	certificate, err := tls.LoadX509KeyPair(settings.CertificateFile, settings.KeyFile)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read the certificate %s and its key %s", settings.CertificateFile, settings.KeyFile)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      roots,
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}, nil
+}
+
+// Listen returns a listener that serves TLS if there is a configuration.
+func Listen(listener net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return listener
+	}
+	return tls.NewListener(listener, config)
+}
