--- a/internal/load/experimenter/world.go
+++ b/internal/load/experimenter/world.go
@@ -35,7 +35,8 @@
 		workers  []*worker
 		random   *rand.Rand
 		latency  []float64
-		baseline map[string]float64 // seconds, by service
+		baseline map[string]float64    // seconds, by service
+		started  map[jaygw.TaskID]bool // urgent tasks
 		figures  Figures
 	}
 
@@ -85,7 +86,7 @@
 func Run(user *User, scenario *Scenario, policy Policy, seed uint64) Figures {
 	w := &world{
 		user: user, scenario: scenario, policy: policy, now: startOfTime,
-		scripts: map[string]*JobScript{}, baseline: map[string]float64{},
+		started: map[jaygw.TaskID]bool{}, scripts: map[string]*JobScript{}, baseline: map[string]float64{},
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	w.machine = applier.New("main", applier.WithObserver(policy))
@@ -177,6 +178,7 @@
 				progress: task.Checkpoint.Progress.Std(), saved: task.Checkpoint.Progress.Std(), savedAt: w.now,
 			}
 			if task.Class == jaygw.Urgent {
+				w.started[task.ID] = true
 				w.figures.Urgent = max(w.figures.Urgent, w.now.Sub(task.Submitted))
 			}
 			w.report(k, task, jaygw.Started, 0)
@@ -337,7 +339,7 @@
 
 func (w *world) finish() {
 	for _, task := range w.machine.State().Tasks {
-		if task.Class == jaygw.Urgent && task.Epoch == 0 {
+		if task.Class == jaygw.Urgent && !task.State.Ended() && !w.started[task.ID] {
 			w.figures.Urgent = max(w.figures.Urgent, w.now.Sub(task.Submitted))
 		}
 	}
