--- a/internal/schedule/estimator/usage.go
+++ b/internal/schedule/estimator/usage.go
@@ -31,8 +31,11 @@
 )
 
 const (
-	// marginPercent is added to the observed peak.
+	// marginPercent is added to the observed peak, and knownPercent after
+	// knownSamples samples: a job's tasks differ little from each other.
 	marginPercent = 15
+	knownPercent  = 5
+	knownSamples  = 200
 
 	// confirmPercent is how far above the declared amount a peak still confirms
 	// it. With the margin on such peaks, jobs that were declared right took 15%
@@ -95,7 +98,7 @@
 		o.stable = o.peak
 		u.changed[name] = true
 	}
-	if o.samples == minSamplesBelow {
+	if o.samples == minSamplesBelow || o.samples == knownSamples {
 		u.changed[name] = true
 	}
 }
@@ -174,9 +177,13 @@
 		return declared
 	}
 	below = below && o.samples >= minSamplesBelow
+	margin := marginPercent
+	if o.samples >= knownSamples {
+		margin = knownPercent
+	}
 	estimate := jaygw.Resources{
-		CPU:          withMargin(o.stable.CPU, declared.CPU, below),
-		Memory:       withMargin(o.stable.Memory, declared.Memory, below),
+		CPU:          withMargin(o.stable.CPU, declared.CPU, margin, below),
+		Memory:       withMargin(o.stable.Memory, declared.Memory, margin, below),
 		Accelerators: declared.Accelerators,
 	}
 	return estimate.Min(limit.Max(declared))
@@ -184,8 +191,8 @@
 
 // withMargin returns the larger of the declared amount and the peak with its
 // margin. A peak near the declared amount confirms it and needs no margin.
-func withMargin[T ~int64](peak, declared T, below bool) T {
-	padded := max(1, peak*(100+marginPercent)/100)
+func withMargin[T ~int64](peak, declared T, percent int, below bool) T {
+	padded := max(1, peak*T(100+percent)/100)
 	switch {
 	case below:
 		return padded
