Test the estimates against their bounds

Cause: the attribution of interference and the bounds of reservations were tested only through whole scenarios. Change: property tests of the estimator.

--- /dev/null
+++ b/internal/schedule/estimator/estimator_test.go
@@ -0,0 +1,82 @@
+package estimator_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/schedule/estimator"
+	"github.com/jaygw/jaygw/internal/test/seeder"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Fix(200)
+	os.Exit(m.Run())
+}
+
+// A reservation below the declared size without the document's option, above every
+// VM, or below what was seen lately would overcommit VMs or never start.
+func TestReservationsKeepTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := estimator.NewUsage()
+		amount := rapid.Int64Range(1, 1000)
+		declared := jaygw.Resources{CPU: jaygw.MilliCores(amount.Draw(t, "declared")), Memory: 1}
+		limit := declared.Max(jaygw.Resources{CPU: jaygw.MilliCores(amount.Draw(t, "limit")), Memory: 1})
+		now, peak := jaygw.Time(0), jaygw.MilliCores(0)
+		for range rapid.IntRange(3, 300).Draw(t, "samples") {
+			used := jaygw.MilliCores(amount.Draw(t, "used"))
+			peak = max(peak, used)
+			now = now.Add(time.Second)
+			u.Observe("job", jaygw.Resources{CPU: used, Memory: 1}, now)
+		}
+		above := u.Reserve("job", declared, limit, false)
+		require.True(t, declared.Fits(above) && above.Fits(limit))
+		require.LessOrEqual(t, above.CPU, max(declared.CPU, peak*115/100))
+		below := u.Reserve("job", declared, limit, true)
+		require.True(t, below.Fits(limit) && !below.IsZero())
+	})
+}
+
+// A quiet job must not be blamed for the noisy one beside it, whatever mix of them
+// ran; a service that is slow without any of them must not be blamed on either.
+func TestTheNoisyJobIsBlamed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		i := estimator.NewInterference()
+		effect := rapid.Float64Range(0.3, 1).Draw(t, "effect")
+		now := jaygw.Time(time.Hour)
+		for vm := range 4 {
+			name := fmt.Sprint("vm-", vm)
+			for range 20 {
+				now = now.Add(time.Second)
+				i.Observe(name, "service", 100*time.Millisecond, now, now)
+			}
+			for k := range rapid.IntRange(1, 6).Draw(t, "quiet") {
+				i.Began(name, jaygw.TaskID(fmt.Sprint("quiet/", k)), "quiet", now)
+			}
+			for range 30 {
+				now = now.Add(time.Second)
+				i.Observe(name, "service", 100*time.Millisecond, now, now)
+			}
+			noisy := rapid.IntRange(1, 2).Draw(t, "noisy")
+			began := now
+			for k := range noisy {
+				i.Began(name, jaygw.TaskID(fmt.Sprint("noisy/", k)), "noisy", began)
+			}
+			for range 30 {
+				now = now.Add(time.Second)
+				factor := 1.0
+				if now.Add(-3*time.Second) >= began {
+					factor += effect * float64(noisy)
+				}
+				i.Observe(name, "service", time.Duration(factor*float64(100*time.Millisecond)), now.Add(-3*time.Second), now)
+			}
+		}
+		require.InDelta(t, effect, i.Effect("service", "noisy", now), 0.25*effect+0.05)
+		require.Less(t, i.Effect("service", "quiet", now), 0.05)
+		require.Zero(t, i.Effect("service", "other", now))
+	})
+}
