--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -28,8 +29,14 @@
 		recorder  *recorder.Recorder
 		registry  metrics.Registry
 		dialer    *dialer.Dialer
+		tls       *tls.Config
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
+
+		// work ends after the requests in flight: what they depend on runs until
+		// then. stopWork ends it.
+		work     context.Context
+		stopWork context.CancelFunc
 	}
 
 	// Listeners are the sockets of a process; nil ones are opened from the
@@ -68,7 +75,6 @@
 		settings: settings,
 		recorder: recorder.New(settings.Name, settings.Domain),
 		registry: metrics.NewRegistry(),
-		dialer:   dialer.New(),
 		mux:      drpcmux.New(),
 	}
 	for _, option := range options {
@@ -83,13 +89,19 @@
 // Run runs the process in a role until the context ends and everything in flight
 // has finished.
 func (p *Process) Run(ctx context.Context, role jaygw.Role) error {
+	var err error
+	if p.tls, err = dialer.ReadTLS(p.settings.TLS); err != nil {
+		return err
+	}
+	p.dialer = dialer.New(dialer.WithTLS(p.tls))
 	if err := p.open(); err != nil {
 		return err
 	}
 	defer p.dialer.Close()
 	p.group, ctx = errgroup.WithContext(ctx)
+	p.work, p.stopWork = context.WithCancel(context.WithoutCancel(ctx))
+	defer p.stopWork()
 	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
-	var err error
 	switch role {
 	case jaygw.RoleAgent:
 		err = p.startAgent(ctx)
@@ -97,11 +109,12 @@
 		err = p.startEntry(ctx)
 	default:
 		err = p.startReplica(ctx)
+		context.AfterFunc(ctx, p.stopWork)
 	}
 	if err != nil {
 		return err
 	}
-	p.group.Go(func() error { return dialer.Serve(ctx, p.listeners.Processes, p.mux) })
+	p.group.Go(func() error { return dialer.Serve(p.work, dialer.Listen(p.listeners.Processes, p.tls), p.mux) })
 	p.log.Infof("%s: started as %s, processes at %s", role, p.settings.Name, p.listeners.Processes.Addr())
 	err = p.group.Wait()
 	p.log.Infof("%s: stopped", role)
@@ -135,12 +148,7 @@
 // serveHTTP serves until the context ends, then calls drain and finishes the
 // requests in flight.
 func (p *Process) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, drain func()) {
-	server := &http.Server{
-		Handler:           meter.Handler(p.registry, handler),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    orDefault(p.settings.Limits.HeaderBytes, defaultHeaderBytes),
-	}
+	server := p.newHTTP(meter.Handler(p.registry, handler))
 	p.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve HTTP")
@@ -157,6 +165,15 @@
 	})
 }
 
+func (p *Process) newHTTP(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    orDefault(p.settings.Limits.HeaderBytes, defaultHeaderBytes),
+	}
+}
+
 // Address returns the address at which other processes reach this one.
 func (p *Process) address() string {
 	if p.settings.Advertise != "" {
