--- a/internal/schedule/dispatcher/dispatcher.go
+++ b/internal/schedule/dispatcher/dispatcher.go
@@ -96,6 +96,7 @@
 	if d.leads {
 		d.replica.Read(func(machine *applier.Machine) { commands = d.decide(machine, now) })
 	}
+	ctx = jaygw.InTerm(ctx, d.term)
 	d.mu.Unlock()
 	var expiries sync.WaitGroup
 	for _, command := range commands {
--- a/internal/schedule/scheduler/react.go
+++ b/internal/schedule/scheduler/react.go
@@ -14,9 +14,11 @@
 		services  map[string]latency
 		throttles map[jaygw.Attempt]int // share of the size left, in percent
 		lifted    map[jaygw.Attempt]jaygw.Time
-		acted     jaygw.Time
-		calm      int // lag intervals without interference
-		checked   jaygw.Time
+		// checkpoints are the attempts that were asked for a checkpoint, and when.
+		checkpoints map[jaygw.Attempt]jaygw.Time
+		acted       jaygw.Time
+		calm        int // lag intervals without interference
+		checked     jaygw.Time
 	}
 
 	latency struct {
@@ -37,12 +39,16 @@
 	// blameFloor is the rise below which an owner is not acted against.
 	blameFloor = 0.05
 
+	// blameShare is the part of the rise that an owner has to explain.
+	blameShare = 0.25
+
 	// allowedRise is the rise that the tasks placed beside a service may cause by
 	// their estimated effects. It is below what slowFactor reacts to.
 	allowedRise = 0.15
 
-	// patience is how long a noisy task waits for a VM without a service that it
-	// would slow. After that it starts, and the reactions limit it.
+	// patience is how long a noisy job of which nothing runs waits for a VM
+	// without a service that it would slow. After that one task starts, and the
+	// reactions limit it.
 	patience = 10 * time.Minute
 
 	// throttlePercent is what is left to a throttled attempt.
@@ -75,6 +81,7 @@
 	if !ok {
 		c = &control{
 			services: map[string]latency{}, throttles: map[jaygw.Attempt]int{}, lifted: map[jaygw.Attempt]jaygw.Time{},
+			checkpoints: map[jaygw.Attempt]jaygw.Time{},
 		}
 		s.controls[vm] = c
 	}
@@ -100,11 +107,13 @@
 func (c *control) drop(attempt jaygw.Attempt) {
 	delete(c.throttles, attempt)
 	delete(c.lifted, attempt)
+	delete(c.checkpoints, attempt)
 }
 
 // Orders returns what the VM is to do with attempts besides starting and
-// stopping them.
-func (s *Scheduler) Orders(vm string) []jaygw.Order {
+// stopping them. Throttles are repeated in each response; a checkpoint is asked
+// for in those of the next second.
+func (s *Scheduler) Orders(vm string, now jaygw.Time) []jaygw.Order {
 	c, ok := s.controls[vm]
 	if !ok {
 		return nil
@@ -116,6 +125,11 @@
 	for attempt := range c.lifted {
 		orders = append(orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionThrottle, Percent: 100})
 	}
+	for attempt, at := range c.checkpoints {
+		if now.Sub(at) <= jaygw.RenewalInterval {
+			orders = append(orders, jaygw.Order{Attempt: attempt, Action: jaygw.ActionCheckpoint})
+		}
+	}
 	slices.SortFunc(orders, func(a, b jaygw.Order) int { return compareTasks(a.Attempt.Task, b.Attempt.Task) })
 	return orders
 }
@@ -159,7 +173,7 @@
 		}
 		switch {
 		case worst >= slowFactor:
-			d.slowDown(vm, c, service)
+			d.slowDown(vm, c, service, worst-1)
 		case c.calm >= calmIntervals && len(c.throttles) > 0:
 			d.speedUp(vm, c)
 		}
@@ -199,7 +213,7 @@
 
 // slowDown throttles the batch owner that slows the service most, or moves one of
 // its tasks if they are throttled already.
-func (d *decision) slowDown(vm string, c *control, service string) {
+func (d *decision) slowDown(vm string, c *control, service string, rise float64) {
 	tasks := map[string][]*jaygw.Task{}
 	for _, id := range d.machine.TasksOn(vm) {
 		task := d.state.Tasks[id]
@@ -212,7 +226,7 @@
 	for owner, list := range tasks {
 		counts[owner] = len(list)
 	}
-	for _, owner := range d.interference.Worst(service, counts, blameFloor, d.now) {
+	for _, owner := range d.interference.Worst(service, counts, max(blameFloor, blameShare*rise), d.now) {
 		if d.throttle(vm, c, tasks[owner]) || d.moveAway(c, tasks[owner], service) {
 			return
 		}
