Verify the server's name on TLS connections

Every TLS connection failed: the client's configuration named no server, and no test opened one. The dialer now verifies the certificate against the host of the address. Tests cover both sides with certificates of another CA or none, an oversized message and malformed bytes.

--- a/internal/wire/dialer/dialer.go
+++ b/internal/wire/dialer/dialer.go
@@ -99,7 +99,9 @@
 		conn = d.wrap(conn)
 	}
 	if d.tls != nil {
-		secured := tls.Client(conn, d.tls)
+		config := d.tls.Clone()
+		config.ServerName, _, _ = net.SplitHostPort(address)
+		secured := tls.Client(conn, config)
 		if err := secured.HandshakeContext(ctx); err != nil {
 			conn.Close()
 			return nil, eris.Wrapf(err, "verify %s", address)
--- /dev/null
+++ b/internal/wire/dialer/dialer_test.go
@@ -0,0 +1,144 @@
+package dialer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/wire/dialer"
+	"github.com/jaygw/jaygw/internal/wire/messenger"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+)
+
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	file        string
+}
+
+func write(t *testing.T, kind string, data []byte) string {
+	file := filepath.Join(t.TempDir(), "file.pem")
+	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+	return file
+}
+
+func newAuthority(t *testing.T) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return authority{certificate, key, write(t, "CERTIFICATE", der)}
+}
+
+// config returns the configuration of a process whose certificate a signs and
+// that trusts another authority.
+func (a authority) config(t *testing.T, trusted authority) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}, a.certificate, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	config, err := dialer.ReadTLS(&jaygw.TLSSettings{
+		CAFile: trusted.file, CertificateFile: write(t, "CERTIFICATE", der), KeyFile: write(t, "EC PRIVATE KEY", keyDER),
+	})
+	require.NoError(t, err)
+	return config
+}
+
+type group struct {
+	messenger.DRPCGroupUnimplementedServer
+}
+
+func (*group) Status(context.Context, *messenger.StatusRequest) (*messenger.StatusResponse, error) {
+	return &messenger.StatusResponse{}, nil
+}
+
+func (*group) Propose(context.Context, *messenger.ProposeRequest) (*messenger.ProposeResponse, error) {
+	return &messenger.ProposeResponse{}, nil
+}
+
+func serve(t *testing.T, config *tls.Config) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, messenger.DRPCRegisterGroup(mux, &group{}))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = dialer.Serve(ctx, dialer.Listen(listener, config), mux) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return listener.Addr().String()
+}
+
+func status(t *testing.T, address string, options ...dialer.Option) error {
+	d := dialer.New(append(options, dialer.WithTimeout(10*time.Second))...)
+	defer d.Close()
+	_, err := messenger.NewDRPCGroupClient(d.Conn(t.Context(), address)).Status(t.Context(), &messenger.StatusRequest{})
+	return err
+}
+
+// A process with a certificate of another CA, or with none, must be refused by
+// either side.
+func TestBothSidesAreVerified(t *testing.T) {
+	own, other := newAuthority(t), newAuthority(t)
+	address := serve(t, own.config(t, own))
+	require.NoError(t, status(t, address, dialer.WithTLS(own.config(t, own))))
+	require.Error(t, status(t, address, dialer.WithTLS(other.config(t, own))), "the client's certificate is of another CA")
+	require.Error(t, status(t, address, dialer.WithTLS(own.config(t, other))), "the server's certificate is of another CA")
+	require.Error(t, status(t, address, dialer.WithTLS(&tls.Config{RootCAs: own.config(t, own).RootCAs, MinVersion: tls.VersionTLS13})))
+	require.Error(t, status(t, address), "the client does not use TLS")
+}
+
+// A message over the limit must be refused and must end the connection.
+func TestOversizedMessageClosesTheConnection(t *testing.T) {
+	address := serve(t, nil)
+	d := dialer.New()
+	defer d.Close()
+	_, err := messenger.NewDRPCGroupClient(d.Conn(t.Context(), address)).Propose(t.Context(),
+		&messenger.ProposeRequest{Command: make([]byte, dialer.MaxMessageBytes+1)})
+	require.Error(t, err)
+	require.NoError(t, status(t, address), "the server must go on")
+}
+
+// Bytes that are no message must end the connection.
+func TestMalformedBytesCloseTheConnection(t *testing.T) {
+	address := serve(t, nil)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	garbage := make([]byte, 4096)
+	for i := range garbage {
+		garbage[i] = 0xff
+	}
+	_, err = conn.Write(garbage)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	var timeout net.Error
+	require.False(t, errors.As(err, &timeout) && timeout.Timeout(), "the connection stays open")
+	require.NoError(t, status(t, address), "the server must go on")
+}
