--- a/command.go
+++ b/command.go
@@ -1,5 +1,7 @@
 package jaygw
 
+import "time"
+
 type (
 	// Command is one change of the control state. Exactly one of the pointer
 	// fields is set. Client and Sequence identify it, so that a resend gets the
@@ -24,6 +26,7 @@
 		Settle     *SettleKeys      `cbor:"21,keyasint,omitempty"`
 		RemoveVM   *RemoveVM        `cbor:"22,keyasint,omitempty"`
 		Resize     *ResizeTasks     `cbor:"23,keyasint,omitempty"`
+		Note       *NoteJobs        `cbor:"30,keyasint,omitempty"`
 	}
 
 	// SubmitDocument puts a document on trial.
@@ -132,13 +135,31 @@
 		Resizes []Resize `cbor:"1,keyasint"`
 	}
 
+	// JobNote says why a job cannot run at present; an empty reason withdraws it.
+	JobNote struct {
+		Environment string `cbor:"1,keyasint"`
+		Name        string `cbor:"2,keyasint"`
+		Reason      string `cbor:"3,keyasint,omitempty"`
+	}
+
+	// NoteJobs sets the reasons of active jobs.
+	NoteJobs struct {
+		Notes []JobNote `cbor:"1,keyasint"`
+	}
+
 	// KeyClaim claims one idempotency key for one request.
 	KeyClaim struct {
 		Key     string `cbor:"1,keyasint"` // environment, service, caller's key
 		Digest  string `cbor:"2,keyasint"` // of method, target and body
 		Entry   string `cbor:"3,keyasint"`
 		Request string `cbor:"4,keyasint"` // the claiming request's id
-		Expires Time   `cbor:"5,keyasint"`
+		Expires Time   `cbor:"5,keyasint"` // set when applied if Retention is
+
+		// Patience is how long after the claim the request may still be running;
+		// after that, a claim that was not settled counts as KeyUnknown.
+		Patience time.Duration `cbor:"6,keyasint,omitempty"`
+		// Retention is how long after the claim the key is kept.
+		Retention time.Duration `cbor:"7,keyasint,omitempty"`
 	}
 
 	// ClaimKeys is a batch of key claims.
@@ -196,6 +217,7 @@
 		Outcome  KeyOutcome      `cbor:"2,keyasint"`
 		Response *StoredResponse `cbor:"3,keyasint,omitempty"`
 		Settled  Time            `cbor:"4,keyasint,omitempty"`
+		Claimed  Time            `cbor:"5,keyasint,omitempty"`
 	}
 )
 
--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -101,6 +101,9 @@
 	return m.index.tasksOf(ownerKey(environment, owner))
 }
 
+// TasksOfKey returns the ids of the tasks of an environment/owner, sorted.
+func (m *Machine) TasksOfKey(key string) []jaygw.TaskID { return m.index.tasksOf(key) }
+
 // Apply applies one committed command and returns its result. A resend gets the
 // result of the first command with its client and sequence.
 func (m *Machine) Apply(index jaygw.Index, command jaygw.Command) jaygw.Result {
@@ -161,6 +164,8 @@
 		return m.evictTasks(*c.Evict)
 	case c.Resize != nil:
 		return m.resizeTasks(*c.Resize)
+	case c.Note != nil:
+		return m.noteJobs(*c.Note)
 	case c.Claim != nil:
 		return m.claimKeys(*c.Claim)
 	case c.Settle != nil:
@@ -175,7 +180,7 @@
 	for _, set := range []bool{
 		c.Submit != nil, c.Promote != nil, c.SetDomain != nil, c.AnnounceVM != nil, c.ExpireVM != nil,
 		c.RemoveVM != nil, c.SubmitJob != nil, c.CancelJob != nil, c.Grant != nil, c.Report != nil,
-		c.Evict != nil, c.Resize != nil, c.Claim != nil, c.Settle != nil,
+		c.Evict != nil, c.Resize != nil, c.Note != nil, c.Claim != nil, c.Settle != nil,
 	} {
 		if set {
 			changes++
