Send watching entries only what has changed in the view

Cause: every change sent the complete view, built from all tasks for each watcher, to every entry, and nothing showed which entry had applied it. A late response of an earlier leader could replace a newer view at an entry. Change: the leader publishes the view once for each change and answers with the entries that changed since the revision that the node acknowledged, or with the complete view if that revision is not its own. The client takes only a view with a higher term, index or revision. status lists the nodes that are behind. Conclusion: the relay through a tree of entries is not part of this change; each entry still watches a replica.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/distributor"
 	"github.com/jaygw/jaygw/internal/wire/converter"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
 	"github.com/jaygw/jaygw/internal/wire/encoder"
@@ -83,9 +84,9 @@
 }
 
 // Watch returns the present view once it differs from the one seen, or the hold
-// time is over.
+// time is over. Only changes are sent; a view that is not newer is not taken.
 func (c *Client) Watch(ctx context.Context, node string, seen jaygw.View, hold time.Duration) (jaygw.View, error) {
-	var view jaygw.View
+	view := seen
 	response, err := c.api(ctx).Watch(ctx, &messenger.WatchRequest{
 		Group: c.group, Node: node, Term: seen.Term, Index: uint64(seen.Index), Revision: seen.Revision, HoldNanos: int64(hold),
 	})
@@ -97,7 +98,16 @@
 		return view, eris.Wrap(err, "watch")
 	}
 	c.learn(response.Members)
-	return view, encoder.Unmarshal(response.View, &view)
+	var delta jaygw.ViewDelta
+	if err := encoder.Unmarshal(response.View, &delta); err != nil {
+		return view, err
+	}
+	view, applied := distributor.Apply(seen, delta)
+	if !applied && (delta.Term < seen.Term || delta.Index < seen.Index) {
+		return seen, eris.Wrapf(jaygw.ErrNotCurrent, "watch: term %d, index %d after term %d, index %d",
+			delta.Term, delta.Index, seen.Term, seen.Index)
+	}
+	return view, nil
 }
 
 func (c *Client) api(ctx context.Context) messenger.DRPCGroupClient {
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -62,13 +62,13 @@
 	return converter.RenewResponse(result), nil
 }
 
-// Watch returns the present view.
+// Watch returns what has changed in the view.
 func (s *Server) Watch(ctx context.Context, m *messenger.WatchRequest) (*messenger.WatchResponse, error) {
 	if m.Group != s.group {
 		return &messenger.WatchResponse{Error: messenger.ErrorCode_ERROR_CODE_WRONG_GROUP}, nil
 	}
 	view, err := s.dispatcher.Watch(ctx, dispatcher.Seen{
-		Term: m.Term, Revision: m.Revision, Hold: min(time.Duration(m.HoldNanos), maxHold),
+		Node: m.Node, Term: m.Term, Index: jaygw.Index(m.Index), Revision: m.Revision, Hold: min(time.Duration(m.HoldNanos), maxHold),
 	})
 	if err != nil {
 		return &messenger.WatchResponse{Error: converter.ErrorCode(err)}, nil
--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -43,6 +43,6 @@
 	}
 	p.group.Go(func() error { return replica.Run(ctx) })
 	p.group.Go(func() error { return scheduling.Run(ctx) })
-	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.recorder).Handler(), func() {})
+	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.recorder, responder.WithNodes(scheduling.Nodes)).Handler(), func() {})
 	return nil
 }
--- a/internal/operator/commander/estate.go
+++ b/internal/operator/commander/estate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/config/checker"
@@ -130,6 +131,14 @@
 			t.line("  on trial: document %d, digest %s, by %s", d.Number, d.Digest, d.Author)
 		}
 	}
+	behind := 0
+	for _, n := range s.Nodes {
+		if n.Behind {
+			behind++
+			t.line("  behind: %s\tindex %d\tsilent for %s", n.Name, n.Index, n.Silent.Std().Round(time.Millisecond))
+		}
+	}
+	t.line("view: %d nodes, %d behind", len(s.Nodes), behind)
 	for _, d := range s.Domains {
 		t.line("failure domain %s\t%s", d.Name, map[bool]string{true: "out", false: "in"}[d.Out])
 	}
--- a/internal/operator/responder/api.go
+++ b/internal/operator/responder/api.go
@@ -50,7 +50,8 @@
 		VMs          []jaygw.VM            `json:"vms"`
 		Teams        []TeamStatus          `json:"teams"`
 		Jobs         []JobStatus           `json:"jobs"`
-		Tasks        map[string]int        `json:"tasks"` // by state
+		Tasks        map[string]int        `json:"tasks"`           // by state
+		Nodes        []jaygw.NodeStatus    `json:"nodes,omitempty"` // at the leader only
 	}
 
 	// EnvironmentStatus lists an environment's documents.
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -36,7 +36,11 @@
 	Responder struct {
 		replica  Replica
 		timeline Timeline
+		nodes    func() []jaygw.NodeStatus
 	}
+
+	// Option changes a new Responder.
+	Option func(*Responder)
 )
 
 const (
@@ -44,9 +48,18 @@
 	maxRequestBytes = 8 << 20
 )
 
+// WithNodes sets the function that lists the nodes that watch the view.
+func WithNodes(nodes func() []jaygw.NodeStatus) Option {
+	return func(s *Responder) { s.nodes = nodes }
+}
+
 // New returns the responder of a replica.
-func New(replica Replica, timeline Timeline) *Responder {
-	return &Responder{replica: replica, timeline: timeline}
+func New(replica Replica, timeline Timeline, options ...Option) *Responder {
+	s := &Responder{replica: replica, timeline: timeline, nodes: func() []jaygw.NodeStatus { return nil }}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Handler returns the operators' HTTP interface.
--- a/internal/operator/responder/status.go
+++ b/internal/operator/responder/status.go
@@ -18,6 +18,7 @@
 	}
 	response := StatusResponse{Replica: s.replica.Status(), Tasks: map[string]int{}}
 	s.replica.Read(func(machine *applier.Machine) { response.fill(machine) })
+	response.Nodes = s.nodes()
 	writeJSON(w, http.StatusOK, response)
 }
 
--- a/internal/schedule/dispatcher/decider.go
+++ b/internal/schedule/dispatcher/decider.go
@@ -9,6 +9,7 @@
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
+	"github.com/jaygw/jaygw/internal/control/distributor"
 	"github.com/jaygw/jaygw/internal/schedule/lessor"
 	"github.com/jaygw/jaygw/internal/schedule/scheduler"
 )
@@ -28,6 +29,8 @@
 		idle      map[string]bool // no batch lease: a start could not be permitted
 		fresh     bool            // the leadership is new to the scheduler
 		notes     *notes
+		views     *distributor.Distributor
+		viewNote  uint64 // count of view changes at the last published view
 	}
 
 	// expiry is the decision that a lease is over. Until it is known to be
@@ -72,6 +75,8 @@
 	}
 	if leads {
 		d.lessor = lessor.New(now)
+		d.views = distributor.New(term, now)
+		d.viewNote = 0
 		d.client = fmt.Sprintf("scheduler-%d-%d", term, now.UnixNano())
 		d.sequence = 0
 	}
--- a/internal/schedule/dispatcher/watch.go
+++ b/internal/schedule/dispatcher/watch.go
@@ -10,16 +10,18 @@
 	"github.com/jaygw/jaygw/internal/control/applier"
 )
 
-// Seen is what a watcher already has.
+// Seen is what a watcher has applied.
 type Seen struct {
+	Node     string
 	Term     uint64
+	Index    jaygw.Index
 	Revision uint64
 	Hold     time.Duration
 }
 
-// Watch returns the present view, confirmed by a quorum, once it differs from
-// what the watcher has seen or the watcher's time is over.
-func (d *Dispatcher) Watch(ctx context.Context, seen Seen) (*jaygw.View, error) {
+// Watch returns what has changed in the view since what the watcher has applied,
+// confirmed by a quorum, once there is a change or the watcher's time is over.
+func (d *Dispatcher) Watch(ctx context.Context, seen Seen) (*jaygw.ViewDelta, error) {
 	d.holdWatch(ctx, seen)
 	if _, err := d.replica.Confirm(ctx); err != nil {
 		return nil, err
@@ -29,18 +31,39 @@
 	if !d.leads {
 		return nil, jaygw.ErrNotLeader
 	}
-	revision, _ := d.notes.ofView()
-	view := &jaygw.View{Term: d.term, Revision: revision}
-	d.replica.Read(func(machine *applier.Machine) { d.fillView(view, machine.State()) })
-	return view, nil
+	d.replica.Read(func(machine *applier.Machine) { d.publish(machine.State()) })
+	delta := d.views.Since(seen.Term, seen.Revision)
+	return &delta, nil
+}
+
+// publish builds the view again if a change was noted since the last time.
+func (d *Dispatcher) publish(state *applier.State) {
+	note, _ := d.notes.ofView()
+	if note != d.viewNote {
+		view := jaygw.View{}
+		d.fillView(&view, state)
+		d.views.Publish(view)
+		d.viewNote = note
+	}
+	d.views.Advance(state.Index)
+}
+
+// Nodes lists the nodes that watch the view of this leader.
+func (d *Dispatcher) Nodes() []jaygw.NodeStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.leads {
+		return nil
+	}
+	return d.views.Nodes(time.Now())
 }
 
 func (d *Dispatcher) holdWatch(ctx context.Context, seen Seen) {
 	timer := time.NewTimer(seen.Hold)
 	defer timer.Stop()
 	for {
-		revision, changed := d.notes.ofView()
-		if revision != seen.Revision || d.currentTerm() != seen.Term {
+		current, changed := d.hasCurrent(seen)
+		if !current {
 			return
 		}
 		select {
@@ -53,10 +76,18 @@
 	}
 }
 
-func (d *Dispatcher) currentTerm() uint64 {
+// hasCurrent notes what a watcher has applied and reports whether nothing has
+// changed since.
+func (d *Dispatcher) hasCurrent(seen Seen) (bool, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.term
+	note, changed := d.notes.ofView()
+	if !d.leads {
+		return false, changed
+	}
+	d.views.Acknowledge(seen.Node, seen.Term, seen.Index, seen.Revision, time.Now())
+	head := d.views.Head()
+	return note == d.viewNote && seen.Term == head.Term && seen.Revision == head.Revision, changed
 }
 
 func (d *Dispatcher) fillView(view *jaygw.View, state *applier.State) {
--- a/world.go
+++ b/world.go
@@ -87,6 +87,23 @@
 		Domains   map[string]FailureDomain `json:"domains"`
 		Upstreams map[string][]Upstream    `json:"upstreams"` // by service
 	}
+
+	// ViewDelta is what has changed in a View since one that a node has applied.
+	// The maps of View hold the changed entries only.
+	ViewDelta struct {
+		View
+		Base    uint64   // revision that the changes follow; zero: the view is complete
+		Removed []string // entries that are gone, such as upstreams/booking
+	}
+
+	// NodeStatus is a node that watches the view.
+	NodeStatus struct {
+		Name     string   `json:"name"`
+		Index    Index    `json:"index"`  // acknowledged
+		Behind   bool     `json:"behind"` // has not acknowledged the last change
+		Silent   Duration `json:"silent"` // since its last request
+		Revision uint64   `json:"revision"`
+	}
 )
 
 const processBits = 32
@@ -102,6 +119,18 @@
 // so that the one knows what the worker beside the other runs.
 func (i Incarnation) SameInstance(o Incarnation) bool { return i>>processBits == o>>processBits }
 
+// Newer reports whether a view may replace another one: nothing that a quorum
+// has confirmed ever gives way to an earlier state.
+func (v View) Newer(o View) bool {
+	if v.Term != o.Term {
+		return v.Term > o.Term
+	}
+	if v.Index != o.Index {
+		return v.Index > o.Index
+	}
+	return v.Revision > o.Revision
+}
+
 // Idempotent reports whether the contract lets a request with this method be
 // sent more than once.
 func (c Contract) Idempotent(method string) bool {
