--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -28,6 +29,7 @@
 		recorder  *recorder.Recorder
 		registry  metrics.Registry
 		dialer    *dialer.Dialer
+		tls       *tls.Config
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
 
@@ -73,7 +75,6 @@
 		settings: settings,
 		recorder: recorder.New(settings.Name, settings.Domain),
 		registry: metrics.NewRegistry(),
-		dialer:   dialer.New(),
 		mux:      drpcmux.New(),
 	}
 	for _, option := range options {
@@ -88,6 +89,11 @@
 // Run runs the process in a role until the context ends and everything in flight
 // has finished.
 func (p *Process) Run(ctx context.Context, role jaygw.Role) error {
+	var err error
+	if p.tls, err = dialer.ReadTLS(p.settings.TLS); err != nil {
+		return err
+	}
+	p.dialer = dialer.New(dialer.WithTLS(p.tls))
 	if err := p.open(); err != nil {
 		return err
 	}
@@ -96,7 +102,6 @@
 	p.work, p.stopWork = context.WithCancel(context.WithoutCancel(ctx))
 	defer p.stopWork()
 	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
-	var err error
 	switch role {
 	case jaygw.RoleAgent:
 		err = p.startAgent(ctx)
@@ -109,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	p.group.Go(func() error { return dialer.Serve(p.work, p.listeners.Processes, p.mux) })
+	p.group.Go(func() error { return dialer.Serve(p.work, dialer.Listen(p.listeners.Processes, p.tls), p.mux) })
 	p.log.Infof("%s: started as %s, processes at %s", role, p.settings.Name, p.listeners.Processes.Addr())
 	err = p.group.Wait()
 	p.log.Infof("%s: stopped", role)
--- a/internal/schedule/dispatcher/decider.go
+++ b/internal/schedule/dispatcher/decider.go
@@ -167,7 +167,7 @@
 	if err := fill(&result, machine, r, now.Sub(arrived) < jaygw.PermitValidity); err != nil {
 		return jaygw.RenewalResult{}, err
 	}
-	result.Orders = append(result.Orders, d.scheduler.Orders(r.VM)...)
+	result.Orders = append(result.Orders, d.scheduler.Orders(r.VM, max(machine.State().Time, jaygw.TimeOf(now)))...)
 	d.lessor.Granted(r.VM, now, terms)
 	return result, nil
 }
