Gather the time line over all processes

Cause: timeline showed the events of one process only. Change: every process answers Events; the operator endpoint asks the replicas and the agents that the state knows, merges by the clock, filters by subject, kind and time, and names processes that do not answer. It needs no quorum. Conclusion: entries without a replica are not asked, since their addresses are not known; clock readings do not travel on other calls yet, so between processes the order is that of their wall clocks.

--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/observe/meter"
 	"github.com/jaygw/jaygw/internal/observe/recorder"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
+	"github.com/jaygw/jaygw/internal/wire/messenger"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -102,6 +104,9 @@
 	p.work, p.stopWork = context.WithCancel(context.WithoutCancel(ctx))
 	defer p.stopWork()
 	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
+	if err := messenger.DRPCRegisterTimeline(p.mux, gatherer.NewServer(p.settings.Name, p.recorder)); err != nil {
+		return err
+	}
 	switch role {
 	case jaygw.RoleAgent:
 		err = p.startAgent(ctx)
--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -9,11 +9,16 @@
 	"github.com/jaygw/jaygw/internal/control/coordinator"
 	"github.com/jaygw/jaygw/internal/control/server"
 	"github.com/jaygw/jaygw/internal/observe/auditor"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 )
 
+func (p *Process) gather(ctx context.Context, processes []gatherer.Process, filter gatherer.Filter) gatherer.Timeline {
+	return gatherer.Gather(ctx, p.dialer, p.settings.Name, p.recorder, processes, filter)
+}
+
 // startReplica starts a replica of the control state with the scheduler that
 // works when the replica leads.
 func (p *Process) startReplica(ctx context.Context) error {
@@ -47,6 +52,6 @@
 	}
 	p.group.Go(func() error { return replica.Run(ctx) })
 	p.group.Go(func() error { return scheduling.Run(ctx) })
-	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.recorder, responder.WithNodes(scheduling.Nodes)).Handler(), func() {})
+	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.gather, responder.WithNodes(scheduling.Nodes)).Handler(), func() {})
 	return nil
 }
--- /dev/null
+++ b/internal/observe/gatherer/gatherer_test.go
@@ -0,0 +1,55 @@
+package gatherer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
+	"github.com/jaygw/jaygw/internal/observe/recorder"
+	"github.com/jaygw/jaygw/internal/wire/dialer"
+	"github.com/jaygw/jaygw/internal/wire/messenger"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+)
+
+func serve(t *testing.T, name string, source gatherer.Source) gatherer.Process {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, messenger.DRPCRegisterTimeline(mux, gatherer.NewServer(name, source)))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = dialer.Serve(ctx, listener, mux) }()
+	return gatherer.Process{Name: name, Address: listener.Addr().String()}
+}
+
+// Events of several processes must come in the order of their clocks, a process
+// that is gone must be named, and filters must leave out the rest.
+func TestGatherMergesAndNamesTheUnreachable(t *testing.T) {
+	second := int64(0)
+	clock := func() time.Time { second++; return time.Unix(second, 0) }
+	a := recorder.New("a", "north", recorder.WithClock(clock))
+	b := recorder.New("b", "south", recorder.WithClock(clock))
+	for _, r := range []*recorder.Recorder{a, b, a, b} {
+		r.Record(jaygw.EventTask, "started", "vm:1")
+	}
+	a.Record(jaygw.EventDomain, "out", "domain:north")
+	processes := []gatherer.Process{{Name: "a"}, serve(t, "b", b), {Name: "gone", Address: "127.0.0.1:1"}}
+	d := dialer.New()
+	defer d.Close()
+
+	all := gatherer.Gather(t.Context(), d, "a", a, processes, gatherer.Filter{})
+	require.Equal(t, []string{"gone"}, all.Unreachable)
+	var order []string
+	for _, e := range all.Events {
+		order = append(order, e.Process)
+	}
+	require.Equal(t, []string{"a", "b", "a", "b", "a"}, order)
+
+	some := gatherer.Gather(t.Context(), d, "a", a, processes, gatherer.Filter{Subject: "vm:1", Since: jaygw.TimeOf(time.Unix(3, 0))})
+	require.Len(t, some.Events, 2)
+	require.Len(t, gatherer.Gather(t.Context(), d, "a", a, processes, gatherer.Filter{Kind: jaygw.EventDomain}).Events, 1)
+}
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 	"github.com/rotisserie/eris"
 )
@@ -106,10 +107,11 @@
 	return response, err
 }
 
-// Timeline returns the events of the endpoint's process.
-func (c *Client) Timeline(ctx context.Context) ([]jaygw.Event, error) {
-	var response []jaygw.Event
-	err := c.call(ctx, http.MethodGet, "/v1/timeline", nil, nil, &response)
+// Timeline returns the events of all processes. The query may hold subject, kind,
+// since and until.
+func (c *Client) Timeline(ctx context.Context, query url.Values) (gatherer.Timeline, error) {
+	var response gatherer.Timeline
+	err := c.call(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil, nil, &response)
 	return response, err
 }
 
--- a/internal/operator/commander/estate.go
+++ b/internal/operator/commander/estate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
@@ -17,7 +18,11 @@
 func (c *Commander) addEstate() {
 	root := &c.parser.Subcommand
 	c.add(root, "status", "show the estate", c.status)
-	c.add(root, "timeline", "show what happened", c.timeline)
+	timeline := c.add(root, "timeline", "show what happened in all processes", c.timeline)
+	timeline.String(&c.options.Subject, "u", "subject", "such as vm:NAME, task:ID, job:ENVIRONMENT/NAME or domain:NAME")
+	timeline.String(&c.options.Kind, "k", "kind", "kind of event")
+	timeline.String(&c.options.Since, "b", "since", "earliest time, such as 2026-01-31T08:00:00Z")
+	timeline.String(&c.options.Until, "e", "until", "latest time")
 	c.add(root, "version", "show the version", func(context.Context) error {
 		return c.print(map[string]string{"version": version}, func(t *text) { t.line("jaygw %s", version) })
 	})
@@ -95,12 +100,23 @@
 }
 
 func (c *Commander) timeline(ctx context.Context) error {
-	events, err := c.client().Timeline(ctx)
+	query := url.Values{}
+	for name, value := range map[string]string{
+		"subject": c.options.Subject, "kind": c.options.Kind, "since": c.options.Since, "until": c.options.Until,
+	} {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	timeline, err := c.client().Timeline(ctx, query)
 	if err != nil {
 		return err
 	}
-	return c.print(events, func(t *text) {
-		for _, e := range events {
+	return c.print(timeline, func(t *text) {
+		for _, name := range timeline.Unreachable {
+			t.line("unreachable: %s", name)
+		}
+		for _, e := range timeline.Events {
 			t.line("%s\t%s\t%s\t%s\t%s", e.Clock.Wall.Std().Format("15:04:05.000000"), e.Process, e.Kind,
 				strings.Join(e.Subjects, " "), e.Cause)
 		}
--- a/internal/operator/commander/options.go
+++ b/internal/operator/commander/options.go
@@ -18,6 +18,10 @@
 	Example     string
 	LogLevel    string
 	Tour        bool
+	Subject     string
+	Kind        string
+	Since       string
+	Until       string
 }
 
 const (
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -16,6 +16,7 @@
 	"github.com/jaygw/jaygw/internal/config/checker"
 	"github.com/jaygw/jaygw/internal/config/decoder"
 	"github.com/jaygw/jaygw/internal/control/applier"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/planner"
 )
 
@@ -27,18 +28,16 @@
 		Read(func(*applier.Machine))
 	}
 
-	// Timeline returns the events of this process.
-	Timeline interface {
-		Events(since uint64) []jaygw.Event
-	}
-
 	// Responder answers operators from one replica.
 	Responder struct {
 		replica  Replica
-		timeline Timeline
 		nodes    func() []jaygw.NodeStatus
+		gather   Gather
 	}
 
+	// Gather collects the events of all processes.
+	Gather func(context.Context, []gatherer.Process, gatherer.Filter) gatherer.Timeline
+
 	// Option changes a new Responder.
 	Option func(*Responder)
 )
@@ -54,8 +53,8 @@
 }
 
 // New returns the responder of a replica.
-func New(replica Replica, timeline Timeline, options ...Option) *Responder {
-	s := &Responder{replica: replica, timeline: timeline, nodes: func() []jaygw.NodeStatus { return nil }}
+func New(replica Replica, gather Gather, options ...Option) *Responder {
+	s := &Responder{replica: replica, gather: gather, nodes: func() []jaygw.NodeStatus { return nil }}
 	for _, option := range options {
 		option(s)
 	}
@@ -139,8 +138,30 @@
 }
 
 func (s *Responder) events(w http.ResponseWriter, r *http.Request) {
-	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
-	writeJSON(w, http.StatusOK, s.timeline.Events(since))
+	query := r.URL.Query()
+	filter := gatherer.Filter{Subject: query.Get("subject"), Kind: jaygw.EventKind(query.Get("kind"))}
+	for name, limit := range map[string]*jaygw.Time{"since": &filter.Since, "until": &filter.Until} {
+		if text := query.Get(name); text != "" {
+			at, err := time.Parse(time.RFC3339Nano, text)
+			if err != nil {
+				writeError(w, http.StatusBadRequest, err)
+				return
+			}
+			*limit = jaygw.TimeOf(at)
+		}
+	}
+	// The state is not confirmed: the time line is wanted most when there is no
+	// quorum.
+	var processes []gatherer.Process
+	for _, m := range s.replica.Status().Members {
+		processes = append(processes, gatherer.Process{Name: m.Name, Address: m.Address})
+	}
+	s.replica.Read(func(machine *applier.Machine) {
+		for name, vm := range machine.State().VMs {
+			processes = append(processes, gatherer.Process{Name: name, Address: vm.Address})
+		}
+	})
+	writeJSON(w, http.StatusOK, s.gather(r.Context(), processes, filter))
 }
 
 // change proposes a command and writes its result.
