Explain why tasks do not run and why they moved

Cause: job show listed states without a cause, and a new grant erased the reason for which the attempt before it had ended. Change: job show and status explain waiting tasks from quota, backoff, domains and free sizes; a task keeps where and why its last attempt ended. Reasons that agents report are shortened, since they are part of the state. Conclusion: the explanation uses declared sizes. What only the scheduler knows, such as quarantine and its own estimates, is not part of it.

--- a/internal/control/applier/reports.go
+++ b/internal/control/applier/reports.go
@@ -103,6 +103,6 @@
 	next.VM = ""
 	next.Incarnation = 0
 	next.Reserved = jaygw.Resources{}
-	next.Reason = r.Reason
+	next.Reason = clip(r.Reason)
 	m.finish(&next)
 }
--- a/internal/control/applier/tasks.go
+++ b/internal/control/applier/tasks.go
@@ -36,6 +36,9 @@
 	next.Since = m.state.Time
 	next.Epoch++
 	next.VM = g.VM
+	if task.LastVM != "" {
+		next.Moved = clip(fmt.Sprintf("VM %s: %s", task.LastVM, task.Reason))
+	}
 	next.LastVM = g.VM
 	next.Incarnation = g.Incarnation
 	next.Reserved = g.Reserve
@@ -148,7 +151,7 @@
 	next.State = jaygw.Stopping
 	next.Since = m.state.Time
 	next.Evictions++
-	next.Reason = e.Reason
+	next.Reason = clip(e.Reason)
 	m.putTask(&next)
 	return jaygw.ItemResult{}
 }
@@ -178,7 +181,7 @@
 	next.VM = ""
 	next.Incarnation = 0
 	next.Reserved = jaygw.Resources{}
-	next.Reason = reason
+	next.Reason = clip(reason)
 	if checkpoint != nil {
 		next.Checkpoint = newerCheckpoint(task.Checkpoint, *checkpoint)
 	}
--- a/internal/operator/commander/estate.go
+++ b/internal/operator/commander/estate.go
@@ -126,9 +126,18 @@
 func writeJob(t *text, job responder.JobStatus) {
 	t.line("job %s/%s is %s: %d of %d tasks done, %d failed, %d canceled %s",
 		job.Environment, job.Name, job.State, job.Done, job.Tasks, job.Failed, job.Canceled, job.Reason)
+	if job.Waiting > 0 {
+		t.line("  %d tasks wait: %s", job.Waiting, job.Why)
+	}
 	for _, task := range job.Open {
 		t.line("%s\t%s\t%s\tepoch %d\tprogress %s\t%s", task.ID, task.State, task.VM, task.Epoch,
 			task.Checkpoint.Progress.Std(), task.Reason)
+		if task.Why != "" {
+			t.line("  does not run: %s", task.Why)
+		}
+		if task.Moved != "" {
+			t.line("  moved after %d evictions, last from %s", task.Evictions, task.Moved)
+		}
 	}
 }
 
--- a/internal/operator/responder/api.go
+++ b/internal/operator/responder/api.go
@@ -87,7 +87,15 @@
 		Failed      int            `json:"failed"`
 		Canceled    int            `json:"canceled"`
 		Reason      string         `json:"reason,omitempty"`
-		Open        []jaygw.Task   `json:"open,omitempty"`
+		Open        []OpenTask     `json:"open,omitempty"`
+		Waiting     int            `json:"waiting,omitempty"` // tasks
+		Why         string         `json:"why,omitempty"`     // the first of them waits
+	}
+
+	// OpenTask is a task that has not ended, and why it does not run.
+	OpenTask struct {
+		jaygw.Task
+		Why string `json:"why,omitempty"`
 	}
 )
 
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -30,9 +30,9 @@
 
 	// Responder answers operators from one replica.
 	Responder struct {
-		replica  Replica
-		nodes    func() []jaygw.NodeStatus
-		gather   Gather
+		replica Replica
+		nodes   func() []jaygw.NodeStatus
+		gather  Gather
 	}
 
 	// Gather collects the events of all processes.
--- a/internal/operator/responder/status.go
+++ b/internal/operator/responder/status.go
@@ -12,6 +12,10 @@
 	"github.com/jaygw/jaygw/internal/control/applier"
 )
 
+// maxExplained bounds the jobs whose waiting is explained in one status: the state
+// is locked meanwhile, and each explanation looks at every VM.
+const maxExplained = 50
+
 func (s *Responder) status(w http.ResponseWriter, r *http.Request) {
 	if !s.confirm(w, r) {
 		return
@@ -41,7 +45,11 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(state.Jobs)) {
 		if job := state.Jobs[key]; job.State == jaygw.JobActive {
-			r.Jobs = append(r.Jobs, jobStatus(job))
+			status := jobStatus(job)
+			if len(r.Jobs) < maxExplained {
+				status.Waiting, status.Why = waiting(machine, key)
+			}
+			r.Jobs = append(r.Jobs, status)
 		}
 	}
 	for _, task := range state.Tasks {
@@ -49,6 +57,20 @@
 	}
 }
 
+// waiting counts a job's waiting tasks and explains the first one.
+func waiting(machine *applier.Machine, key string) (count int, why string) {
+	state := machine.State()
+	for _, id := range machine.TasksOfKey(key) {
+		if task := state.Tasks[id]; task.State == jaygw.Waiting {
+			if count == 0 {
+				why = explain(state, task)
+			}
+			count++
+		}
+	}
+	return count, why
+}
+
 func environmentStatus(e *applier.Environment) EnvironmentStatus {
 	status := EnvironmentStatus{Name: e.Name}
 	if e.InForce != nil {
@@ -86,10 +108,10 @@
 		status := jobStatus(job)
 		for _, id := range machine.TasksOf(vars["environment"], vars["name"]) {
 			if task := machine.State().Tasks[id]; !task.State.Ended() {
-				status.Open = append(status.Open, *task)
+				status.Open = append(status.Open, OpenTask{Task: *task, Why: explain(machine.State(), task)})
 			}
 		}
-		slices.SortFunc(status.Open, func(a, b jaygw.Task) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(status.Open, func(a, b OpenTask) int { return cmp.Compare(a.ID, b.ID) })
 		response = &status
 	})
 	if response == nil {
--- a/task.go
+++ b/task.go
@@ -46,6 +46,7 @@
 		NotBefore   Time        `json:"not-before,omitempty"` // retry backoff
 		Canceling   bool        `json:"canceling,omitempty"`  // ends as canceled once stopped
 		Reason      string      `json:"reason,omitempty"`
+		Moved       string      `json:"moved,omitempty"` // why the attempt before the latest one ended, and where
 	}
 
 	// Checkpoint is work that survives the end of an attempt.
