--- a/internal/observe/gatherer/gatherer_test.go
+++ b/internal/observe/gatherer/gatherer_test.go
@@ -1,7 +1,11 @@
 package gatherer_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/xml"
+	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -53,3 +57,28 @@
 	require.Len(t, some.Events, 2)
 	require.Len(t, gatherer.Gather(t.Context(), d, "a", a, processes, gatherer.Filter{Kind: jaygw.EventDomain}).Events, 1)
 }
+
+// The page must be well-formed whatever names and causes hold, and show every
+// process, also one without events.
+func TestSVGIsWellFormed(t *testing.T) {
+	timeline := gatherer.Timeline{Unreachable: []string{"gone"}, Events: []jaygw.Event{
+		{Process: "a<b", Kind: jaygw.EventTask, Cause: `"</svg>&`, Clock: jaygw.Clock{Wall: 5}},
+		{Process: "c", Kind: "other", Clock: jaygw.Clock{Wall: 9}},
+	}}
+	var page bytes.Buffer
+	require.NoError(t, timeline.WriteSVG(&page))
+	elements := map[string]int{}
+	d := xml.NewDecoder(bytes.NewReader(page.Bytes()))
+	for {
+		token, err := d.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		require.NoError(t, err)
+		if start, ok := token.(xml.StartElement); ok {
+			elements[start.Name.Local]++
+		}
+	}
+	require.Equal(t, 2, elements["circle"])
+	require.Equal(t, 3, elements["line"])
+}
--- a/internal/operator/commander/estate.go
+++ b/internal/operator/commander/estate.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/url"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/config/checker"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 )
 
@@ -23,6 +26,7 @@
 	timeline.String(&c.options.Kind, "k", "kind", "kind of event")
 	timeline.String(&c.options.Since, "b", "since", "earliest time, such as 2026-01-31T08:00:00Z")
 	timeline.String(&c.options.Until, "e", "until", "latest time")
+	timeline.String(&c.options.SVG, "g", "svg", "file for a page with one lane for each process")
 	c.add(root, "version", "show the version", func(context.Context) error {
 		return c.print(map[string]string{"version": version}, func(t *text) { t.line("jaygw %s", version) })
 	})
@@ -112,6 +116,9 @@
 	if err != nil {
 		return err
 	}
+	if c.options.SVG != "" {
+		return writeSVG(c.options.SVG, timeline)
+	}
 	return c.print(timeline, func(t *text) {
 		for _, name := range timeline.Unreachable {
 			t.line("unreachable: %s", name)
@@ -123,6 +130,14 @@
 	})
 }
 
+func writeSVG(name string, timeline gatherer.Timeline) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return &usageError{err}
+	}
+	return errors.Join(timeline.WriteSVG(file), file.Close())
+}
+
 func writeJob(t *text, job responder.JobStatus) {
 	t.line("job %s/%s is %s: %d of %d tasks done, %d failed, %d canceled %s",
 		job.Environment, job.Name, job.State, job.Done, job.Tasks, job.Failed, job.Canceled, job.Reason)
--- a/internal/operator/commander/options.go
+++ b/internal/operator/commander/options.go
@@ -22,6 +22,7 @@
 	Kind        string
 	Since       string
 	Until       string
+	SVG         string
 }
 
 const (
