Sum VMs by failure domain in the text of status

Cause: status listed every VM and job, thousands of lines at the target size. Change: one line for each failure domain, at most 20 jobs and 20 nodes that are behind; the JSON output has everything.

--- a/internal/operator/commander/estate.go
+++ b/internal/operator/commander/estate.go
@@ -15,6 +15,9 @@
 	"github.com/jaygw/jaygw/internal/operator/responder"
 )
 
+// maxListed bounds what the text of status lists of one kind.
+const maxListed = 20
+
 // version is set by the linker.
 var version = "development"
 
@@ -171,24 +174,16 @@
 			t.line("  on trial: document %d, digest %s, by %s", d.Number, d.Digest, d.Author)
 		}
 	}
-	behind := 0
-	for _, n := range s.Nodes {
-		if n.Behind {
-			behind++
-			t.line("  behind: %s\tindex %d\tsilent for %s", n.Name, n.Index, n.Silent.Std().Round(time.Millisecond))
-		}
-	}
-	t.line("view: %d nodes, %d behind", len(s.Nodes), behind)
-	for _, d := range s.Domains {
-		t.line("failure domain %s\t%s", d.Name, map[bool]string{true: "out", false: "in"}[d.Out])
-	}
-	for _, vm := range s.VMs {
-		t.line("VM %s\t%s\t%s of %s", vm.Name, vm.Domain, amount(vm.Committed), amount(vm.Size))
-	}
+	writeNodes(t, s.Nodes)
+	writeDomains(t, s)
 	for _, team := range s.Teams {
 		t.line("team %s/%s\t%s of %s", team.Environment, team.Name, amount(team.Used), amount(team.Quota))
 	}
-	for _, job := range s.Jobs {
+	for i, job := range s.Jobs {
+		if i == maxListed {
+			t.line("and %d more jobs; --output json shows all", len(s.Jobs)-i)
+			break
+		}
 		writeJob(t, job)
 	}
 	for _, state := range []jaygw.TaskState{jaygw.Waiting, jaygw.Granted, jaygw.Running, jaygw.Stopping} {
@@ -196,6 +191,41 @@
 	}
 }
 
+// writeNodes names the nodes that have not applied the last change.
+func writeNodes(t *text, nodes []jaygw.NodeStatus) {
+	behind := 0
+	for _, n := range nodes {
+		if !n.Behind {
+			continue
+		}
+		if behind++; behind <= maxListed {
+			t.line("  behind: %s\tindex %d\tsilent for %s", n.Name, n.Index, n.Silent.Std().Round(time.Millisecond))
+		}
+	}
+	t.line("view: %d nodes, %d behind", len(nodes), behind)
+}
+
+// writeDomains sums the VMs of each failure domain, so that the status of a large
+// estate fits on a screen.
+func writeDomains(t *text, s responder.StatusResponse) {
+	for _, d := range s.Domains {
+		var committed, size jaygw.Resources
+		vms, leaving := 0, 0
+		for _, vm := range s.VMs {
+			if vm.Domain != d.Name {
+				continue
+			}
+			vms++
+			committed, size = committed.Add(vm.Committed), size.Add(vm.Size)
+			if vm.Leaving {
+				leaving++
+			}
+		}
+		t.line("failure domain %s\t%s\t%d VMs, %d leaving\t%s of %s", d.Name,
+			map[bool]string{true: "out", false: "in"}[d.Out], vms, leaving, amount(committed), amount(size))
+	}
+}
+
 func amount(r jaygw.Resources) string {
 	return fmt.Sprintf("%.1f cores, %.1f GB, %d accelerators", float64(r.CPU)/float64(jaygw.Core), float64(r.Memory)/float64(jaygw.GB), r.Accelerators)
 }
