--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -184,7 +184,7 @@
 	for _, set := range []bool{
 		c.Submit != nil, c.Promote != nil, c.SetDomain != nil, c.AnnounceVM != nil, c.ExpireVM != nil,
 		c.RemoveVM != nil, c.SubmitJob != nil, c.CancelJob != nil, c.Grant != nil, c.Report != nil,
-		c.Evict != nil, c.Resize != nil, c.Claim != nil, c.Settle != nil,
+		c.Evict != nil, c.Resize != nil, c.Note != nil, c.Claim != nil, c.Settle != nil,
 	} {
 		if set {
 			changes++
--- a/internal/operator/commander/options.go
+++ b/internal/operator/commander/options.go
@@ -18,6 +18,11 @@
 	Example     string
 	LogLevel    string
 	Tour        bool
+	Subject     string
+	Kind        string
+	Since       string
+	Until       string
+	SVG         string
 }
 
 const (
