Let a stopping replica finish its requests, and look at all VMs less often

Cause: a replica that moved was stopped at once, while entries still sent it requests and others were in flight; and the leader sorted all VMs and their tasks on every change. Change: the agent waits up to 3 s for the service's requests before it stops a replica; the leader looks at leases each 50 ms and skips VMs that renew; the tour waits for all VMs before it promotes, so that the services spread over the domains. Conclusion: a move no longer cuts off a request that ends within 3 s.

--- a/internal/agent/announcer/announcer.go
+++ b/internal/agent/announcer/announcer.go
@@ -31,7 +31,8 @@
 		revision uint64    // of the last list
 		read     time.Time // the last full list
 		log      logrus.FieldLogger
-		urgent   chan struct{} // a report is waiting
+		drain    func(ctx context.Context, service string) // nil: replicas stop at once
+		urgent   chan struct{}                             // a report is waiting
 
 		mu       sync.Mutex
 		executor *executor.Executor
@@ -48,6 +49,10 @@
 	renewTimeout = 2 * time.Second
 	callTimeout  = 5 * time.Second
 
+	// drainLimit is the longest time that a replica goes on for the requests in
+	// flight after it was told to stop. Entries learn of the stop within a second.
+	drainLimit = 3 * time.Second
+
 	// tickInterval is how often lease ends are looked at.
 	tickInterval = 100 * time.Millisecond
 
@@ -86,6 +91,13 @@
 // than the agent: the agent has to start again with a new incarnation.
 var ErrInstance = errors.New("the VM's instance has changed")
 
+// WithDrain sets a function that waits until no request of a service is in
+// flight at the upstream, or the context ends. It is called before a replica of
+// the service stops.
+func WithDrain(drain func(ctx context.Context, service string)) Option {
+	return func(a *Announcer) { a.drain = drain }
+}
+
 // WithLogger sets the logger.
 func WithLogger(log logrus.FieldLogger) Option {
 	return func(a *Announcer) { a.log = log }
@@ -341,7 +353,7 @@
 }
 
 func (a *Announcer) performOne(step executor.Step) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+drainLimit)
 	defer cancel()
 	id := step.Attempt
 	switch {
@@ -353,6 +365,7 @@
 		}
 		return
 	case step.Action == jaygw.ActionStop || step.Action == jaygw.ActionKill:
+		a.drainService(id)
 		checkpoint, err := a.worker.Stop(ctx, id)
 		if err != nil {
 			a.log.Warnf("agent: task %s was not stopped: %v", id.Task, err)
@@ -378,6 +391,25 @@
 	a.report()
 }
 
+// drainService waits for the requests in flight of a replica that is about to
+// stop. It ends early enough for the replica to stop within its lease.
+func (a *Announcer) drainService(id jaygw.Attempt) {
+	a.mu.Lock()
+	kind, known := a.executor.Kind(id)
+	_, end := a.executor.LeaseEnds()
+	a.mu.Unlock()
+	if a.drain == nil || !known || kind != jaygw.ServiceTask {
+		return
+	}
+	limit := min(drainLimit, time.Until(end)-executor.StopAhead)
+	if limit <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	a.drain(ctx, id.Task.Owner())
+}
+
 func (a *Announcer) start(ctx context.Context, permit jaygw.Permit) {
 	a.mu.Lock()
 	window, admitted := a.executor.Admit(permit.Attempt, time.Now())
--- a/internal/agent/executor/executor.go
+++ b/internal/agent/executor/executor.go
@@ -72,8 +72,8 @@
 	stopping
 	ended // completed, failed or stopped; the report is not yet acknowledged
 
-	// stopAhead is how long before the end of a lease its attempts are stopped.
-	stopAhead = time.Second
+	// StopAhead is how long before the end of a lease its attempts are stopped.
+	StopAhead = time.Second
 
 	// stopRetry is the pause before a failed stop is tried again.
 	stopRetry = 500 * time.Millisecond
@@ -104,6 +104,15 @@
 	}
 }
 
+// Kind returns the kind of an attempt on the VM.
+func (e *Executor) Kind(id jaygw.Attempt) (jaygw.TaskKind, bool) {
+	a, ok := e.attempts[id]
+	if !ok {
+		return "", false
+	}
+	return a.kind, true
+}
+
 // Leave makes the next renewals announce that the VM is leaving.
 func (e *Executor) Leave() { e.vm.Leaving = true }
 
@@ -178,7 +187,7 @@
 	for _, id := range e.known() {
 		a := e.attempts[id]
 		switch {
-		case (a.phase == running || a.phase == starting) && now.Add(stopAhead).After(e.leaseEnd(a.kind)):
+		case (a.phase == running || a.phase == starting) && now.Add(StopAhead).After(e.leaseEnd(a.kind)):
 			steps = append(steps, e.stop(id, a, now))
 		case a.phase == stopping && !a.stopAt.IsZero() && !now.Before(a.stopAt):
 			steps = append(steps, e.stop(id, a, now))
@@ -241,7 +250,7 @@
 func (e *Executor) window(a *attempt, now time.Time) (jaygw.StartWindow, bool) {
 	end := e.leaseEnd(a.kind)
 	by := a.by
-	if last := end.Add(-stopAhead); last.Before(by) {
+	if last := end.Add(-StopAhead); last.Before(by) {
 		by = last
 	}
 	return jaygw.StartWindow{By: by, LeaseEnd: end}, now.Before(by) && !e.domainOut
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 		inFlight  atomic.Int64
 		leaving   atomic.Bool // entries are told to stop sending requests
 		unhealthy atomic.Bool
+
+		mu       sync.Mutex
+		services map[string]int // requests in flight
 	}
 
 	// Option changes a new Server.
@@ -43,6 +47,10 @@
 	chunkBytes         = 32 << 10
 	defaultConnections = 64
 	drainPoll          = 5 * time.Millisecond
+
+	// viewDelay is the time in which entries with a confirmed view learn that a
+	// replica stops.
+	viewDelay = time.Second
 )
 
 // WithConnections sets how many attempts of all entries may be at the agent at
@@ -64,6 +72,7 @@
 		limiter:     l,
 		granter:     limiter.NewGranter(l.Capacity()),
 		connections: defaultConnections,
+		services:    map[string]int{},
 		client: &http.Client{
 			Transport:     &http.Transport{DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -92,6 +101,8 @@
 	e.holdFlush()
 	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	s.count(first.Head.Service, 1)
+	defer s.count(first.Head.Service, -1)
 	switch {
 	case jaygw.Incarnation(first.Head.Incarnation) != s.incarnation:
 		return e.refuse("the agent has been restarted")
@@ -154,5 +165,35 @@
 	return nil
 }
 
+func (s *Server) count(service string, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.services[service] += change; s.services[service] == 0 {
+		delete(s.services, service)
+	}
+}
+
+// DrainService returns once the entries have had the time to learn that a replica
+// of the service stops and no request of it is in flight, or the context has
+// ended.
+func (s *Server) DrainService(ctx context.Context, service string) {
+	timer := time.NewTimer(viewDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		s.mu.Lock()
+		idle := s.services[service] == 0
+		s.mu.Unlock()
+		if idle {
+			return
+		}
+		timer.Reset(drainPoll)
+	}
+}
+
 // Close closes the idle connections to the upstream.
 func (s *Server) Close() { s.client.CloseIdleConnections() }
--- a/internal/daemon/guide/guide.go
+++ b/internal/daemon/guide/guide.go
@@ -99,8 +99,14 @@
 	return report, nil
 }
 
-// prepare puts the document in force and waits until the service answers.
+// prepare waits for all VMs, so that the services spread over all failure domains,
+// puts the document in force and waits until its services run.
 func (g *Guide) prepare(ctx context.Context) error {
+	if err := g.wait(ctx, func(status responder.StatusResponse) bool {
+		return len(status.VMs) == len(g.estate.Workers)
+	}); err != nil {
+		return err
+	}
 	fmt.Fprintf(g.out, "submitting document %d of environment %s\n", g.plan.Document.Number, g.plan.Document.Environment)
 	submitted, err := g.retry(ctx, func() (responder.ChangeResponse, error) {
 		return g.client.Submit(ctx, g.plan.Document, "tour")
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -56,7 +56,8 @@
 		client.New(p.settings.Group, p.settings.Peers, p.dialer),
 		platform, instance,
 		executor.New(p.settings.Group, vm, incarnation),
-		announcer.WithLogger(p.log))
+		announcer.WithLogger(p.log),
+		announcer.WithDrain(requests.DrainService))
 	// The session outlives the end of the context until the VM has left.
 	p.group.Go(func() error { return session.Run(p.work) })
 	p.group.Go(func() error {
--- a/internal/schedule/dispatcher/decider.go
+++ b/internal/schedule/dispatcher/decider.go
@@ -28,6 +28,7 @@
 		silent    map[string]bool
 		idle      map[string]bool // no batch lease: a start could not be permitted
 		fresh     bool            // the leadership is new to the scheduler
+		checked   time.Time       // last look at all VMs
 		notes     *notes
 		views     *distributor.Distributor
 		viewNote  uint64 // count of view changes at the last published view
@@ -46,6 +47,11 @@
 	// removalSilence is how long a VM without tasks is remembered after its last
 	// renewal, unless it has announced that it leaves.
 	removalSilence = time.Hour
+
+	// livenessInterval is the time between two looks at all VMs. Decisions that
+	// follow a change come more often: up to 720 times a second at the peak rate
+	// of starts.
+	livenessInterval = 50 * time.Millisecond
 )
 
 // errExpiring is returned while a lease's expiry is not settled.
@@ -68,6 +74,7 @@
 	d.silent = map[string]bool{}
 	d.idle = map[string]bool{}
 	d.fresh = true
+	d.checked = time.Time{}
 	// What the last leadership proposed is either in the log before the first
 	// entry of the next one, or never committed; an answer is confirmed after it.
 	for name := range d.expiring {
@@ -242,7 +249,22 @@
 		d.fresh = false
 	}
 	state := machine.State()
-	d.updateLiveness(state, now)
+	var commands []jaygw.Command
+	if now.Sub(d.checked) >= livenessInterval {
+		d.checked = now
+		d.updateLiveness(state, now)
+		commands = d.checkLeases(machine, now)
+	}
+	commands = append(commands, d.scheduler.Decide(machine, max(state.Time, jaygw.TimeOf(now)))...)
+	for _, vm := range d.scheduler.ChangedOrders() {
+		d.notes.vm(vm)
+	}
+	return commands
+}
+
+// checkLeases returns the commands that end leases and remove VMs.
+func (d *decider) checkLeases(machine *applier.Machine, now time.Time) []jaygw.Command {
+	state := machine.State()
 	var commands []jaygw.Command
 	for _, name := range slices.Sorted(maps.Keys(state.VMs)) {
 		vm := state.VMs[name]
@@ -253,19 +275,18 @@
 			}
 			continue
 		}
+		silence := d.lessor.Silence(name, now)
+		if silence <= jaygw.SilenceLimit && !d.lessor.Over(name, jaygw.BatchTask, now) {
+			continue // the usual case; the service lease is the longer one
+		}
 		tasks := machine.TasksOn(name)
 		if kinds := d.over(state, name, tasks, now); len(kinds) > 0 {
 			commands = append(commands, d.expire(vm, kinds))
 		}
-		silence := d.lessor.Silence(name, now)
 		if len(tasks) == 0 && (vm.Leaving && silence > jaygw.SilenceLimit || silence > removalSilence) {
 			commands = append(commands, jaygw.Command{RemoveVM: &jaygw.RemoveVM{Name: name}})
 		}
 	}
-	commands = append(commands, d.scheduler.Decide(machine, max(state.Time, jaygw.TimeOf(now)))...)
-	for _, vm := range d.scheduler.ChangedOrders() {
-		d.notes.vm(vm)
-	}
 	return commands
 }
 
--- a/task.go
+++ b/task.go
@@ -1,6 +1,9 @@
 package jaygw
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 type (
 	// TaskID names a task: environment/owner/number.
@@ -145,5 +148,12 @@
 // Ended reports whether the task will not run again.
 func (s TaskState) Ended() bool { return s == Done || s == Failed || s == Canceled }
 
+// Owner returns the service or job that the task belongs to.
+func (id TaskID) Owner() string {
+	_, rest, _ := strings.Cut(string(id), "/")
+	owner, _, _ := strings.Cut(rest, "/")
+	return owner
+}
+
 // Attempt returns the attempt in force.
 func (t *Task) Attempt() Attempt { return Attempt{t.ID, t.Epoch} }
