Add the member commands and the operators' token

Operators could not change a control group, and anybody who reached the operators' HTTP interface could use it.

member list, add and remove go through the leader from any replica; add may name the member that leaves once the new one votes.

--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -47,6 +47,14 @@
 	}
 	p.group.Go(func() error { return replica.Run(ctx) })
 	p.group.Go(func() error { return scheduling.Run(ctx) })
-	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.recorder).Handler(), func() {})
+	handler := responder.New(replica, p.recorder).Handler()
+	if p.settings.TokenFile != "" {
+		token, err := responder.ReadToken(p.settings.TokenFile)
+		if err != nil {
+			return err
+		}
+		handler = responder.RequireToken(token)(handler)
+	}
+	p.serveHTTP(ctx, p.listeners.Operators, handler, func() {})
 	return nil
 }
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -23,6 +23,7 @@
 		base   string
 		http   *http.Client
 		id     string
+		token  string // shown with each request, unless empty
 		number uint64
 		pause  time.Duration
 	}
@@ -153,6 +154,9 @@
 	if err != nil {
 		return eris.Wrap(err, "build the request")
 	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	for name, values := range header {
 		request.Header[name] = values
 	}
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -11,12 +11,14 @@
 	"github.com/integrii/flaggy"
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/operator/client"
+	"github.com/jaygw/jaygw/internal/operator/responder"
 )
 
 type (
 	// Commander runs one command.
 	Commander struct {
 		options Options
+		token   string
 		load    loadOptions
 		out     io.Writer
 		err     io.Writer
@@ -47,7 +49,9 @@
 	c.parser.DisableShowVersionWithVersion()
 	c.parser.String(&c.options.Server, "s", "server", "address of the operator endpoint (JAYGW_SERVER)")
 	c.parser.String(&c.options.Output, "o", "output", "text or json")
+	c.parser.String(&c.options.TokenFile, "", "token-file", "file with the operators' token (JAYGW_TOKEN_FILE)")
 	c.addDaemons()
+	c.addMembers()
 	c.addDocuments()
 	c.addEstate()
 	c.addLoad()
@@ -68,6 +72,14 @@
 		fmt.Fprintf(c.err, "--output %q is not text or json\n", c.options.Output)
 		return ExitUsage
 	}
+	if c.options.TokenFile != "" {
+		token, err := responder.ReadToken(c.options.TokenFile)
+		if err != nil {
+			fmt.Fprintln(c.err, err)
+			return ExitUsage
+		}
+		c.token = token
+	}
 	for command, run := range c.actions {
 		if command.Used {
 			return c.exitCode(run(ctx))
--- a/internal/operator/commander/documents.go
+++ b/internal/operator/commander/documents.go
@@ -25,7 +25,7 @@
 	promote.String(&c.options.Author, "a", "author", "who promotes")
 }
 
-func (c *Commander) client() *client.Client { return client.New(c.options.Server) }
+func (c *Commander) client() *client.Client { return client.New(c.options.Server).WithToken(c.token) }
 
 func (c *Commander) check(context.Context) error {
 	document, err := readFile(c.options.File, checker.Document)
--- a/internal/operator/commander/options.go
+++ b/internal/operator/commander/options.go
@@ -1,11 +1,17 @@
 package commander
 
-import "os"
+import (
+	"os"
+
+	"github.com/jaygw/jaygw"
+)
 
 // Options are the values of all flags and arguments.
 type Options struct {
 	Server      string
 	Output      string
+	TokenFile   string
+	Member      jaygw.Member
 	Settings    string
 	File        string
 	Environment string
@@ -24,6 +30,7 @@
 	outputText = "text"
 	outputJSON = "json"
 
+	tokenVariable    = "JAYGW_TOKEN_FILE"
 	serverVariable   = "JAYGW_SERVER"
 	defaultServer    = "127.0.0.1:7410"
 	defaultCallers   = "127.0.0.1:7400"
@@ -41,5 +48,6 @@
 	if server := os.Getenv(serverVariable); server != "" {
 		options.Server = server
 	}
+	options.TokenFile = os.Getenv(tokenVariable)
 	return options
 }
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -59,6 +59,8 @@
 	r.HandleFunc("/v1/jobs", s.submitJob).Methods(http.MethodPost)
 	r.HandleFunc("/v1/jobs/{environment}/{name}", s.showJob).Methods(http.MethodGet)
 	r.HandleFunc("/v1/jobs/{environment}/{name}/cancel", s.cancelJob).Methods(http.MethodPost)
+	r.HandleFunc("/v1/members", s.members).Methods(http.MethodGet)
+	r.HandleFunc("/v1/members", s.changeMembers).Methods(http.MethodPost)
 	r.HandleFunc("/v1/status", s.status).Methods(http.MethodGet)
 	r.HandleFunc("/v1/timeline", s.events).Methods(http.MethodGet)
 	return r
