--- a/internal/control/coordinator/group_test.go
+++ b/internal/control/coordinator/group_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,11 @@
 	for i, m := range g.members {
 		g.start(m, listeners[i], t.TempDir(), false, options...)
 	}
+	// A member of a new group counts once it has seen the first commit.
+	for _, r := range g.replicas {
+		g.confirmed(r, 0)
+	}
+	g.setup()
 	return g
 }
 
@@ -125,16 +131,12 @@
 	served := make(chan struct{})
 	go func() { defer close(served); _ = dialer.Serve(ctx, gate{l, r}, mux) }()
 	go func() { r.ended <- replica.Run(ctx) }()
-	stopped := false
-	r.stop = func() {
-		if !stopped {
-			stopped = true
-			cancel()
-			d.Close()
-			<-served
-			<-r.ended
-		}
-	}
+	r.stop = sync.OnceFunc(func() {
+		cancel()
+		d.Close()
+		<-served
+		<-r.ended
+	})
 	g.t.Cleanup(r.stop)
 	g.replicas[m.ID] = r
 	return r
@@ -164,29 +166,40 @@
 	return nil
 }
 
-// command creates a document of its own environment, so that its effect shows.
+// setup declares the failure domain of the VMs that the commands announce.
+func (g *group) setup() {
+	g.commit(g.leader(), jaygw.Command{Client: "setup", Sequence: 1, Submit: &jaygw.SubmitDocument{
+		Document: jaygw.Document{Environment: "e", Number: 1, Domains: []jaygw.DomainSpec{{Name: "north", Region: "r"}}}, Digest: "d",
+	}})
+	g.commit(g.leader(), jaygw.Command{Client: "setup", Sequence: 2, Promote: &jaygw.PromoteDocument{Environment: "e", Digest: "d"}})
+}
+
+// command announces a VM of its own, so that its effect shows.
 func command(number int) jaygw.Command {
-	return jaygw.Command{Client: "test", Sequence: uint64(number), Submit: &jaygw.SubmitDocument{
-		Document: jaygw.Document{Environment: fmt.Sprint("e", number), Number: 1}, Digest: "d",
-	}}
+	return jaygw.Command{Client: "test", Sequence: uint64(number), AnnounceVM: &jaygw.AnnounceVM{VM: jaygw.VM{
+		Name: fmt.Sprint("vm-", number), Domain: "north", Incarnation: 1,
+		Size: jaygw.Resources{CPU: jaygw.Core, Memory: jaygw.GB},
+	}}}
 }
 
-// propose commits a command through a replica, resending it as clients do.
-func (g *group) propose(r *member, number int) {
+func (g *group) propose(r *member, number int) { g.commit(r, command(number)) }
+
+// commit commits a command through a replica, resending it as clients do.
+func (g *group) commit(r *member, c jaygw.Command) {
+	var result jaygw.Result
 	require.Eventually(g.t, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		result, err := r.Propose(ctx, command(number))
-		if err == nil {
-			require.NoError(g.t, result.Err())
-		}
+		var err error
+		result, err = r.Propose(ctx, c)
 		return err == nil
 	}, patience, 10*time.Millisecond)
+	require.NoError(g.t, result.Err())
 }
 
-func (r *member) environments() int {
+func (r *member) vms() int {
 	count := 0
-	r.Read(func(machine *applier.Machine) { count = len(machine.State().Environments) })
+	r.Read(func(machine *applier.Machine) { count = len(machine.State().VMs) })
 	return count
 }
 
@@ -194,11 +207,9 @@
 func (g *group) confirmed(r *member, want int) {
 	require.Eventually(g.t, func() bool {
 		_, err := r.Confirm(context.Background())
-		if err == nil {
-			require.Equal(g.t, want, r.environments())
-		}
 		return err == nil
 	}, patience, 10*time.Millisecond)
+	require.Equal(g.t, want, r.vms())
 }
 
 // A crash of the leader must lose no command, and the others must go on.
