--- a/internal/control/applier/restore_test.go
+++ b/internal/control/applier/restore_test.go
@@ -1,6 +1,7 @@
 package applier_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,26 @@
 		require.Equal(t, kept, known, "after %d hours", hours+1)
 	}
 }
+
+// A document that would bring a table above its limit must be refused as a
+// whole, and a team that it no longer declares must not keep its quota.
+func TestPromotionKeepsToTheTables(t *testing.T) {
+	l := &log{t: t, now: 1, machine: applier.New("main", applier.WithLimits(smallLimits))}
+	one := jaygw.Resources{CPU: 1, Memory: 1}
+	promote := func(number uint64, teams []jaygw.TeamSpec, jobs ...jaygw.JobSpec) jaygw.Result {
+		digest := fmt.Sprint(number)
+		document := jaygw.Document{Environment: "print", Number: number, Teams: teams, Jobs: jobs}
+		l.accept(jaygw.Command{Submit: &jaygw.SubmitDocument{Document: document, Digest: digest}})
+		return l.apply(jaygw.Command{Promote: &jaygw.PromoteDocument{Environment: "print", Digest: digest}})
+	}
+	job := func(name string, tasks int) jaygw.JobSpec {
+		return jaygw.JobSpec{Name: name, Team: "x", Tasks: tasks, Resources: one}
+	}
+	both := []jaygw.TeamSpec{{Name: "x", Quota: one}, {Name: "y", Quota: one}}
+	require.NoError(t, promote(1, both, job("j", 6)).Err())
+	refused := promote(2, both, job("k", 6))
+	require.Equal(t, jaygw.RefusedFull, refused.Refusal.Code)
+	require.Equal(t, uint64(1), l.machine.State().Environments["print"].InForce.Document.Number)
+	require.NoError(t, promote(3, both[:1], job("j", 6)).Err())
+	require.NotContains(t, l.machine.State().Teams, "print/y")
+}
