Keep the test daemons' ports out of the ephemeral range

Change: the ports are drawn below the range of outgoing connections.

Conclusion: the daemons get their ports; nothing in the test is relaxed.

--- a/internal/test/whole/estate_test.go
+++ b/internal/test/whole/estate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -225,10 +226,18 @@
 	return 0
 }
 
+// freeAddress returns an address that is free now. Its port is below the range
+// from which the system takes the ports of outgoing connections: one of those could
+// take it before the daemon listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(10_000))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
