Serve the entry's metrics in the form of the other metrics

Cause: the callers' address wrote the entry's metrics as text with names of their own; the operators' address serves JSON with dotted names.

--- a/internal/entry/forwarder/meter.go
+++ b/internal/entry/forwarder/meter.go
@@ -1,10 +1,7 @@
 package forwarder
 
 import (
-	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -26,32 +23,22 @@
 func newCounts(registry metrics.Registry) counts {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, registry) }
 	return counts{
-		requests: counter("entry-requests"),
-		answered: counter("entry-answered"),
-		refused:  counter("entry-refused"),
-		unknown:  counter("entry-unknown"),
-		cutOff:   counter("entry-cut-off"),
-		attempts: counter("entry-attempts"),
-		retries:  counter("entry-retries"),
-		hedges:   counter("entry-hedges"),
-		dropped:  counter("entry-dropped-messages"),
-		replayed: counter("entry-replayed"),
+		requests: counter("entry.requests"),
+		answered: counter("entry.answered"),
+		refused:  counter("entry.refused"),
+		unknown:  counter("entry.unknown"),
+		cutOff:   counter("entry.cut-off"),
+		attempts: counter("entry.attempts"),
+		retries:  counter("entry.retries"),
+		hedges:   counter("entry.hedges"),
+		dropped:  counter("entry.dropped-messages"),
+		replayed: counter("entry.replayed"),
 	}
 }
 
-// answerMetrics lists the counters and gauges, one a line.
+// answerMetrics writes the metrics as JSON, as the operators' address does.
 func (f *Forwarder) answerMetrics(w http.ResponseWriter, _ *http.Request) {
-	var lines []string
-	f.registry.Each(func(name string, metric any) {
-		switch m := metric.(type) {
-		case metrics.Counter:
-			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
-		case metrics.Gauge:
-			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
-		}
-	})
-	lines = append(lines, fmt.Sprintf("entry-in-flight %d", f.inFlight.Load()))
-	slices.Sort(lines)
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	fmt.Fprintln(w, strings.Join(lines, "\n"))
+	metrics.GetOrRegisterGauge("entry.in-flight", f.registry).Update(f.inFlight.Load())
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(f.registry, w)
 }
--- a/internal/load/generator/experiment.go
+++ b/internal/load/generator/experiment.go
@@ -259,9 +259,9 @@
 		for _, w := range r.workers {
 			w.server.Close()
 		}
-		retries, requests := r.count("entry-retries"), r.count("entry-requests")
+		retries, requests := r.count("entry.retries"), r.count("entry.requests")
 		x.load(ctx, r.entry, outageRate, func(p *Plan) { p.Method = http.MethodGet })
-		retries, requests = r.count("entry-retries")-retries, r.count("entry-requests")-requests
+		retries, requests = r.count("entry.retries")-retries, r.count("entry.requests")-requests
 		r.close()
 		x.note(Figure{Experiment: "outage", Name: "retries added", Unit: "percent", Bound: 10}, 100*float64(retries)/float64(max(1, requests)))
 	}
