--- a/internal/control/applier/jobs.go
+++ b/internal/control/applier/jobs.go
@@ -156,7 +156,7 @@
 			continue
 		}
 		next := *job
-		next.Reason = note.Reason
+		next.Reason = clip(note.Reason)
 		m.state.Jobs[key] = &next
 	}
 	return jaygw.Result{Results: results}
--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -17,6 +17,10 @@
 		state     *State
 		index     *index
 		observers []jaygw.Observer
+
+		// trustGrants skips the check of a VM's size. Only a test sets it, to
+		// show that the check is needed.
+		trustGrants bool
 	}
 
 	// Limits bounds the tables of the state. A full table refuses new entries.
@@ -180,7 +184,7 @@
 	for _, set := range []bool{
 		c.Submit != nil, c.Promote != nil, c.SetDomain != nil, c.AnnounceVM != nil, c.ExpireVM != nil,
 		c.RemoveVM != nil, c.SubmitJob != nil, c.CancelJob != nil, c.Grant != nil, c.Report != nil,
-		c.Evict != nil, c.Resize != nil, c.Claim != nil, c.Settle != nil,
+		c.Evict != nil, c.Resize != nil, c.Note != nil, c.Claim != nil, c.Settle != nil,
 	} {
 		if set {
 			changes++
--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -3,15 +3,18 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/observe/meter"
 	"github.com/jaygw/jaygw/internal/observe/recorder"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
+	"github.com/jaygw/jaygw/internal/wire/messenger"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -28,6 +31,7 @@
 		recorder  *recorder.Recorder
 		registry  metrics.Registry
 		dialer    *dialer.Dialer
+		tls       *tls.Config
 		mux       *drpcmux.Mux
 		group     *errgroup.Group
 
@@ -73,7 +77,6 @@
 		settings: settings,
 		recorder: recorder.New(settings.Name, settings.Domain),
 		registry: metrics.NewRegistry(),
-		dialer:   dialer.New(),
 		mux:      drpcmux.New(),
 	}
 	for _, option := range options {
@@ -88,6 +91,11 @@
 // Run runs the process in a role until the context ends and everything in flight
 // has finished.
 func (p *Process) Run(ctx context.Context, role jaygw.Role) error {
+	var err error
+	if p.tls, err = dialer.ReadTLS(p.settings.TLS); err != nil {
+		return err
+	}
+	p.dialer = dialer.New(dialer.WithTLS(p.tls))
 	if err := p.open(); err != nil {
 		return err
 	}
@@ -96,7 +104,9 @@
 	p.work, p.stopWork = context.WithCancel(context.WithoutCancel(ctx))
 	defer p.stopWork()
 	p.recorder.Record(jaygw.EventProcess, string(role)+" started")
-	var err error
+	if err := messenger.DRPCRegisterTimeline(p.mux, gatherer.NewServer(p.settings.Name, p.recorder)); err != nil {
+		return err
+	}
 	switch role {
 	case jaygw.RoleAgent:
 		err = p.startAgent(ctx)
@@ -109,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	p.group.Go(func() error { return dialer.Serve(p.work, p.listeners.Processes, p.mux) })
+	p.group.Go(func() error { return dialer.Serve(p.work, dialer.Listen(p.listeners.Processes, p.tls), p.mux) })
 	p.log.Infof("%s: started as %s, processes at %s", role, p.settings.Name, p.listeners.Processes.Addr())
 	err = p.group.Wait()
 	p.log.Infof("%s: stopped", role)
--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -9,11 +9,16 @@
 	"github.com/jaygw/jaygw/internal/control/coordinator"
 	"github.com/jaygw/jaygw/internal/control/server"
 	"github.com/jaygw/jaygw/internal/observe/auditor"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 )
 
+func (p *Process) gather(ctx context.Context, processes []gatherer.Process, filter gatherer.Filter) gatherer.Timeline {
+	return gatherer.Gather(ctx, p.dialer, p.settings.Name, p.recorder, processes, filter)
+}
+
 // startReplica starts a replica of the control state with the scheduler that
 // works when the replica leads.
 func (p *Process) startReplica(ctx context.Context) error {
@@ -26,8 +31,12 @@
 		applier.WithObserver(newTally(p.registry)))
 	self := jaygw.Member{ID: control.ID, Name: p.settings.Name, Address: p.address(), Domain: p.settings.Domain, Voter: true}
 	replica, err := coordinator.Open(
-		coordinator.Settings{Group: p.settings.Group, Self: self, Folder: control.DataFolder},
+		coordinator.Settings{
+			Group: p.settings.Group, Self: self, Folder: control.DataFolder, Members: control.Members, Join: control.Join,
+		},
 		machine,
+		coordinator.WithDialer(p.dialer),
+		coordinator.WithLogger(p.log),
 		coordinator.WithLeadershipHook(func(l coordinator.Leadership) {
 			scheduling.Lead(l.Term, l.Leads, time.Now())
 			if l.Leads {
@@ -38,11 +47,11 @@
 		return err
 	}
 	scheduling.Serve(replica)
-	if err := messenger.DRPCRegisterGroup(p.mux, server.New(p.settings.Group, replica, scheduling)); err != nil {
+	if err := messenger.DRPCRegisterGroup(p.mux, server.New(p.settings.Group, replica, scheduling, server.WithDialer(p.dialer))); err != nil {
 		return err
 	}
 	p.group.Go(func() error { return replica.Run(ctx) })
 	p.group.Go(func() error { return scheduling.Run(ctx) })
-	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.recorder).Handler(), func() {})
+	p.serveHTTP(ctx, p.listeners.Operators, responder.New(replica, p.gather, responder.WithNodes(scheduling.Nodes)).Handler(), func() {})
 	return nil
 }
--- a/internal/operator/commander/estate.go
+++ b/internal/operator/commander/estate.go
@@ -2,21 +2,34 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/url"
+	"os"
 	"strings"
+	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/config/checker"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 )
 
+// maxListed bounds what the text of status lists of one kind.
+const maxListed = 20
+
 // version is set by the linker.
 var version = "development"
 
 func (c *Commander) addEstate() {
 	root := &c.parser.Subcommand
 	c.add(root, "status", "show the estate", c.status)
-	c.add(root, "timeline", "show what happened", c.timeline)
+	timeline := c.add(root, "timeline", "show what happened in all processes", c.timeline)
+	timeline.String(&c.options.Subject, "u", "subject", "such as vm:NAME, task:ID, job:ENVIRONMENT/NAME or domain:NAME")
+	timeline.String(&c.options.Kind, "k", "kind", "kind of event")
+	timeline.String(&c.options.Since, "b", "since", "earliest time, such as 2026-01-31T08:00:00Z")
+	timeline.String(&c.options.Until, "e", "until", "latest time")
+	timeline.String(&c.options.SVG, "g", "svg", "file for a page with one lane for each process")
 	c.add(root, "version", "show the version", func(context.Context) error {
 		return c.print(map[string]string{"version": version}, func(t *text) { t.line("jaygw %s", version) })
 	})
@@ -94,24 +107,55 @@
 }
 
 func (c *Commander) timeline(ctx context.Context) error {
-	events, err := c.client().Timeline(ctx)
+	query := url.Values{}
+	for name, value := range map[string]string{
+		"subject": c.options.Subject, "kind": c.options.Kind, "since": c.options.Since, "until": c.options.Until,
+	} {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	timeline, err := c.client().Timeline(ctx, query)
 	if err != nil {
 		return err
 	}
-	return c.print(events, func(t *text) {
-		for _, e := range events {
+	if c.options.SVG != "" {
+		return writeSVG(c.options.SVG, timeline)
+	}
+	return c.print(timeline, func(t *text) {
+		for _, name := range timeline.Unreachable {
+			t.line("unreachable: %s", name)
+		}
+		for _, e := range timeline.Events {
 			t.line("%s\t%s\t%s\t%s\t%s", e.Clock.Wall.Std().Format("15:04:05.000000"), e.Process, e.Kind,
 				strings.Join(e.Subjects, " "), e.Cause)
 		}
 	})
 }
 
+func writeSVG(name string, timeline gatherer.Timeline) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return &usageError{err}
+	}
+	return errors.Join(timeline.WriteSVG(file), file.Close())
+}
+
 func writeJob(t *text, job responder.JobStatus) {
 	t.line("job %s/%s is %s: %d of %d tasks done, %d failed, %d canceled %s",
 		job.Environment, job.Name, job.State, job.Done, job.Tasks, job.Failed, job.Canceled, job.Reason)
+	if job.Waiting > 0 {
+		t.line("  %d tasks wait: %s", job.Waiting, job.Why)
+	}
 	for _, task := range job.Open {
 		t.line("%s\t%s\t%s\tepoch %d\tprogress %s\t%s", task.ID, task.State, task.VM, task.Epoch,
 			task.Checkpoint.Progress.Std(), task.Reason)
+		if task.Why != "" {
+			t.line("  does not run: %s", task.Why)
+		}
+		if task.Moved != "" {
+			t.line("  moved after %d evictions, last from %s", task.Evictions, task.Moved)
+		}
 	}
 }
 
@@ -130,16 +174,16 @@
 			t.line("  on trial: document %d, digest %s, by %s", d.Number, d.Digest, d.Author)
 		}
 	}
-	for _, d := range s.Domains {
-		t.line("failure domain %s\t%s", d.Name, map[bool]string{true: "out", false: "in"}[d.Out])
-	}
-	for _, vm := range s.VMs {
-		t.line("VM %s\t%s\t%s of %s", vm.Name, vm.Domain, amount(vm.Committed), amount(vm.Size))
-	}
+	writeNodes(t, s.Nodes)
+	writeDomains(t, s)
 	for _, team := range s.Teams {
 		t.line("team %s/%s\t%s of %s", team.Environment, team.Name, amount(team.Used), amount(team.Quota))
 	}
-	for _, job := range s.Jobs {
+	for i, job := range s.Jobs {
+		if i == maxListed {
+			t.line("and %d more jobs; --output json shows all", len(s.Jobs)-i)
+			break
+		}
 		writeJob(t, job)
 	}
 	for _, state := range []jaygw.TaskState{jaygw.Waiting, jaygw.Granted, jaygw.Running, jaygw.Stopping} {
@@ -147,6 +191,41 @@
 	}
 }
 
+// writeNodes names the nodes that have not applied the last change.
+func writeNodes(t *text, nodes []jaygw.NodeStatus) {
+	behind := 0
+	for _, n := range nodes {
+		if !n.Behind {
+			continue
+		}
+		if behind++; behind <= maxListed {
+			t.line("  behind: %s\tindex %d\tsilent for %s", n.Name, n.Index, n.Silent.Std().Round(time.Millisecond))
+		}
+	}
+	t.line("view: %d nodes, %d behind", len(nodes), behind)
+}
+
+// writeDomains sums the VMs of each failure domain, so that the status of a large
+// estate fits on a screen.
+func writeDomains(t *text, s responder.StatusResponse) {
+	for _, d := range s.Domains {
+		var committed, size jaygw.Resources
+		vms, leaving := 0, 0
+		for _, vm := range s.VMs {
+			if vm.Domain != d.Name {
+				continue
+			}
+			vms++
+			committed, size = committed.Add(vm.Committed), size.Add(vm.Size)
+			if vm.Leaving {
+				leaving++
+			}
+		}
+		t.line("failure domain %s\t%s\t%d VMs, %d leaving\t%s of %s", d.Name,
+			map[bool]string{true: "out", false: "in"}[d.Out], vms, leaving, amount(committed), amount(size))
+	}
+}
+
 func amount(r jaygw.Resources) string {
 	return fmt.Sprintf("%.1f cores, %.1f GB, %d accelerators", float64(r.CPU)/float64(jaygw.Core), float64(r.Memory)/float64(jaygw.GB), r.Accelerators)
 }
