--- a/internal/entry/forwarder/attempt.go
+++ b/internal/entry/forwarder/attempt.go
@@ -22,8 +22,10 @@
 		id       uint64
 		began    time.Time
 		result   router.Result
-		took     time.Duration // until the first message of the response
+		took     time.Duration   // until the first message of the response
+		ctx      context.Context // of the stream
 		cancel   context.CancelFunc
+		turn     chan struct{}      // held while a message is sent
 		release  context.CancelFunc // of the context of a hedged attempt; nil otherwise
 		unwatch  func() bool
 		sent     chan struct{} // closed when the rest of the body was sent; nil if none is
@@ -66,7 +68,7 @@
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	a := &attempt{
 		f: f, q: q, upstream: upstream, id: f.attempts.Add(1), began: time.Now(),
-		result: router.Failed, cancel: cancel,
+		result: router.Failed, ctx: streamCtx, cancel: cancel, turn: make(chan struct{}, 1),
 	}
 	a.unwatch = context.AfterFunc(ctx, a.giveUp)
 	o := a.open(streamCtx, wanted, retry)
@@ -98,7 +100,7 @@
 		},
 		Chunk: b.head, Last: b.whole,
 	}
-	if err := stream.Send(first); err != nil {
+	if err := a.send(first); err != nil {
 		return outcome{reason: err.Error()}
 	}
 	for {
@@ -165,15 +167,27 @@
 		last := errors.Is(err, io.EOF)
 		if err != nil && !last {
 			a.bodyErr = err
-			_ = a.stream.Send(&messenger.AttemptRequest{Cancel: true})
+			_ = a.send(&messenger.AttemptRequest{Cancel: true})
 			return
 		}
-		if err := a.stream.Send(&messenger.AttemptRequest{Chunk: buffer[:n], Last: last, Sequence: sequence}); err != nil || last {
+		if err := a.send(&messenger.AttemptRequest{Chunk: buffer[:n], Last: last, Sequence: sequence}); err != nil || last {
 			return
 		}
 	}
 }
 
+// send sends a message once the earlier ones have been sent. It waits no longer than
+// the stream lives: a connection that is stuck holds drpc's own lock for ever.
+func (a *attempt) send(m *messenger.AttemptRequest) error {
+	select {
+	case a.turn <- struct{}{}:
+	case <-a.ctx.Done():
+		return a.ctx.Err()
+	}
+	defer func() { <-a.turn }()
+	return a.stream.Send(m)
+}
+
 // giveUp cancels the attempt when the request's time is over or its caller is
 // gone, and gives the agent a bounded time for its word.
 func (a *attempt) giveUp() {
@@ -187,7 +201,7 @@
 		a.cancel()
 		return
 	}
-	_ = stream.Send(&messenger.AttemptRequest{Cancel: true})
+	_ = a.send(&messenger.AttemptRequest{Cancel: true})
 }
 
 // judge decides what a failed attempt says of the upstream. An agent that answers
@@ -205,6 +219,10 @@
 		a.stopSending()
 	}
 	if a.stream != nil {
+		select {
+		case a.turn <- struct{}{}:
+		case <-a.ctx.Done():
+		}
 		_ = a.stream.Close()
 	}
 	// The timer of a cancel has to run until here: it frees a Close that waits
