Replace a control member's disk in the test under faults, and tell a task's story on failure

Cause: the test did not lose a disk, and a failure named the task without what led to it. Change: a replica that does not lead loses its folder and comes back as a new member; a failed check prints the task's events and runs.

--- a/internal/test/whole/estate_test.go
+++ b/internal/test/whole/estate_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/observe/gatherer"
 	"github.com/jaygw/jaygw/internal/operator/client"
 	"github.com/jaygw/jaygw/internal/operator/responder"
 	"github.com/jaygw/jaygw/internal/platform/emulator"
@@ -34,6 +35,8 @@
 		entries []*daemon
 		agents  []*daemon
 		workers []*worker
+
+		timeline gatherer.Timeline // at the end
 	}
 
 	// daemon is one process and how to start it again.
--- a/internal/test/whole/faults_test.go
+++ b/internal/test/whole/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,6 +23,7 @@
 	startsAfterOut = 3 * time.Second
 	pastBatchLease = 13 * time.Second
 	seed           = 20261204
+	newMember      = 4
 )
 
 // away is the time that a failure domain was out, by the test's clock: from the
@@ -54,6 +57,8 @@
 	paused := e.pauseAgent(4)
 	gone := e.moveDomain(ctx, "south")
 	jobs = append(jobs, e.submitJob(ctx, "impose-3", 30))
+	e.replaceDisk(ctx)
+	jobs = append(jobs, e.submitJob(ctx, "impose-4", 20))
 	for _, job := range jobs {
 		e.finishJob(ctx, job)
 	}
@@ -63,10 +68,12 @@
 	status, err := e.operator(ctx).Status(ctx)
 	require.NoError(t, err)
 	require.Equal(t, checker.Digest(document), status.Environments[0].InForce.Digest)
+	e.timeline, err = e.operator(ctx).Timeline(ctx, nil)
+	require.NoError(t, err)
 	for _, d := range e.daemons() {
 		require.NoError(t, e.terminate(d), d.settings.Name)
 	}
-	e.checkTasks(150, gone, paused)
+	e.checkTasks(170, gone, paused)
 	e.checkRequests(requests)
 }
 
@@ -172,6 +179,47 @@
 	return gone
 }
 
+// replaceDisk loses the disk of a replica that does not lead and brings its VM back
+// as a new member.
+func (e *estate) replaceDisk(ctx context.Context) {
+	e.t.Helper()
+	number := (e.leader(ctx) + 1) % estateEntries
+	d := e.entries[number]
+	e.kill(d)
+	require.NoError(e.t, os.RemoveAll(d.settings.Control.DataFolder))
+	require.NoError(e.t, os.MkdirAll(d.settings.Control.DataFolder, 0o750))
+	lost := e.members[number].ID
+	member := &e.members[number]
+	member.ID, member.Name, member.Address = newMember, "entry-new", freeAddress(e.t)
+	d.settings.Name, d.settings.Listen.Processes = member.Name, member.Address
+	d.settings.Control.ID = newMember
+	d.settings.Control.Members = nil
+	d.settings.Control.Join = true
+	added := *member
+	added.Voter, added.Replaces = false, lost
+	response, err := e.operator(ctx).ChangeMembers(ctx, jaygw.ChangeMembers{Add: &added})
+	require.NoError(e.t, err)
+	require.Nil(e.t, response.Refusal)
+	e.start(d)
+	e.waitForReplacement(ctx, lost)
+}
+
+// waitForReplacement waits until the new member votes and the lost one has left.
+func (e *estate) waitForReplacement(ctx context.Context, lost uint64) {
+	e.t.Helper()
+	for ctx.Err() == nil {
+		status, err := e.operator(ctx).Members(ctx)
+		votes := func(id uint64) bool {
+			return slices.ContainsFunc(status.Members, func(m jaygw.Member) bool { return m.ID == id && m.Voter })
+		}
+		if err == nil && votes(newMember) && !votes(lost) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(e.t, "the new member does not vote in place of the lost one")
+}
+
 // checkTasks checks what the workers ran.
 func (e *estate) checkTasks(tasks int, gone away, paused pause) {
 	type placed struct {
@@ -192,8 +240,8 @@
 	for _, run := range runs {
 		id := run.Attempt.Task
 		if before, ok := last[id]; ok {
-			require.False(e.t, before.End.IsZero() || before.End.After(run.Start), "task %s ran in two places at once", id)
-			require.Zero(e.t, completed[id], "task %s started again after it had completed", id)
+			require.False(e.t, before.End.IsZero() || before.End.After(run.Start), "task %s ran in two places at once\n%s", id, e.story(id))
+			require.Zero(e.t, completed[id], "task %s started again after it had completed\n%s", id, e.story(id))
 		}
 		if _, known := last[id]; !known && run.Kind == jaygw.BatchTask {
 			batch++
@@ -213,6 +261,25 @@
 	}
 }
 
+// story returns what the time line and the workers know of a task.
+func (e *estate) story(id jaygw.TaskID) string {
+	var lines []string
+	for _, event := range e.timeline.Events {
+		if slices.Contains(event.Subjects, "task:"+string(id)) {
+			lines = append(lines, fmt.Sprint(event.Clock.Wall.Std().Format(time.StampMicro), " ", event.Process, " ", event.Kind, " ", event.Cause, " ", event.Subjects))
+		}
+	}
+	for i, w := range e.workers {
+		for _, run := range w.tasks.History() {
+			if run.Attempt.Task == id {
+				lines = append(lines, fmt.Sprintf("worker %d: epoch %d from %s to %s complete %t", i+1, run.Attempt.Epoch,
+					run.Start.UTC().Format(time.StampMicro), run.End.UTC().Format(time.StampMicro), run.Complete))
+			}
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 // checkRequests compares what callers were told with what the upstreams executed.
 func (e *estate) checkRequests(c *callers) {
 	executed := map[string]int{}
