--- a/internal/control/applier/clients.go
+++ b/internal/control/applier/clients.go
@@ -114,6 +114,8 @@
 		items += len(command.Evict.Evictions)
 	case command.Resize != nil:
 		items += len(command.Resize.Resizes)
+	case command.Note != nil:
+		items += len(command.Note.Notes)
 	case command.Settle != nil:
 		items += len(command.Settle.Settlements)
 	case command.Claim != nil:
--- a/internal/control/applier/tasks.go
+++ b/internal/control/applier/tasks.go
@@ -36,6 +36,9 @@
 	next.Since = m.state.Time
 	next.Epoch++
 	next.VM = g.VM
+	if task.LastVM != "" {
+		next.Moved = clip(fmt.Sprintf("VM %s: %s", task.LastVM, task.Reason))
+	}
 	next.LastVM = g.VM
 	next.Incarnation = g.Incarnation
 	next.Reserved = g.Reserve
@@ -66,7 +69,8 @@
 	if !m.reservationAllowed(task, g.Reserve) {
 		return item(jaygw.RefusedInvalid, "task %s has to be committed with its declared size at least", task.ID)
 	}
-	if !g.Reserve.Fits(vm.Size) || !vm.Committed.Add(g.Reserve).Fits(vm.Size) {
+	fits := g.Reserve.Fits(vm.Size) && vm.Committed.Add(g.Reserve).Fits(vm.Size)
+	if !fits && !m.trustGrants {
 		return item(jaygw.RefusedCapacity, "task %s does not fit on VM %s", task.ID, g.VM)
 	}
 	if !team.Used.Add(g.Reserve).Fits(team.Quota) {
@@ -147,7 +151,7 @@
 	next.State = jaygw.Stopping
 	next.Since = m.state.Time
 	next.Evictions++
-	next.Reason = e.Reason
+	next.Reason = clip(e.Reason)
 	m.putTask(&next)
 	return jaygw.ItemResult{}
 }
@@ -177,7 +181,7 @@
 	next.VM = ""
 	next.Incarnation = 0
 	next.Reserved = jaygw.Resources{}
-	next.Reason = reason
+	next.Reason = clip(reason)
 	if checkpoint != nil {
 		next.Checkpoint = newerCheckpoint(task.Checkpoint, *checkpoint)
 	}
--- a/internal/operator/responder/api.go
+++ b/internal/operator/responder/api.go
@@ -50,7 +50,8 @@
 		VMs          []jaygw.VM            `json:"vms"`
 		Teams        []TeamStatus          `json:"teams"`
 		Jobs         []JobStatus           `json:"jobs"`
-		Tasks        map[string]int        `json:"tasks"` // by state
+		Tasks        map[string]int        `json:"tasks"`           // by state
+		Nodes        []jaygw.NodeStatus    `json:"nodes,omitempty"` // at the leader only
 	}
 
 	// EnvironmentStatus lists an environment's documents.
@@ -86,7 +87,15 @@
 		Failed      int            `json:"failed"`
 		Canceled    int            `json:"canceled"`
 		Reason      string         `json:"reason,omitempty"`
-		Open        []jaygw.Task   `json:"open,omitempty"`
+		Open        []OpenTask     `json:"open,omitempty"`
+		Waiting     int            `json:"waiting,omitempty"` // tasks
+		Why         string         `json:"why,omitempty"`     // the first of them waits
+	}
+
+	// OpenTask is a task that has not ended, and why it does not run.
+	OpenTask struct {
+		jaygw.Task
+		Why string `json:"why,omitempty"`
 	}
 )
 
