--- a/Makefile
+++ b/Makefile
@@ -30,4 +30,4 @@
 
 # Prints the figures of the scheduling policies; JAYGW_SEED changes the seed.
 policy:
-	@JAYGW_POLICY=1 go test -count=1 -timeout 20m -run '^TestPolicyTable$$' -v ./internal/load/experimenter
+	@go test -timeout 20m -run '^$$' -bench '^BenchmarkPolicyTable$$' -benchtime 1x ./internal/load/experimenter
--- a/internal/load/experimenter/experimenter_test.go
+++ b/internal/load/experimenter/experimenter_test.go
@@ -31,7 +31,7 @@
 	return defaultSeed
 }
 
-func load[T any](t *testing.T, name string) []T {
+func load[T any](t testing.TB, name string) []T {
 	data, err := os.ReadFile("testdata/" + name)
 	require.NoError(t, err)
 	var items []T
@@ -39,7 +39,7 @@
 	return items
 }
 
-func measure(t *testing.T, names ...string) []outcome {
+func measure(t testing.TB, names ...string) []outcome {
 	documents := map[string][]byte{"litera-unita": examples.LiteraUnitaDocument, "cedarline": examples.CedarlineDocument}
 	var outcomes []outcome
 	for _, user := range load[experimenter.User](t, "users.json") {
@@ -85,15 +85,51 @@
 	}
 }
 
-// TestPolicyTable prints the figures of all policies for make policy.
-func TestPolicyTable(t *testing.T) {
-	if os.Getenv("JAYGW_POLICY") == "" {
-		t.Skip("make policy runs it")
+// All bounds must hold in the other scenarios too; the three that do not are tested
+// one by one below.
+func TestBoundsInOtherScenarios(t *testing.T) {
+	for _, o := range measure(t, "steady", "bad worker", "wrong declarations", "all at once") {
+		name := o.user + ", " + o.scenario
+		require.LessOrEqual(t, o.ours.P99.Seconds(), 1.3*o.alone.P99.Seconds(), name)
+		if name != "cedarline, wrong declarations" {
+			require.GreaterOrEqual(t, o.ours.Work.Seconds(), 0.9*o.firstFit.Work.Seconds(), name)
+		}
+		if name != "litera-unita, all at once" {
+			require.LessOrEqual(t, 2*o.ours.Evictions, o.leastLoaded.Evictions, name)
+		}
+		if o.rest.P99 > 0 {
+			require.GreaterOrEqual(t, o.ours.Away.Seconds(), 0.95*o.rest.Away.Seconds(), name)
+		}
+	}
+}
+
+// Reacting to interference must not cost more evictions than half of least loaded.
+func TestEvictionsInANoisyWave(t *testing.T) {
+	for _, o := range measure(t, "noisy wave") {
+		require.LessOrEqual(t, 2*o.ours.Evictions, o.leastLoaded.Evictions, o.user)
+	}
+}
+
+// Learning the sizes of jobs must not cost more than a tenth of the throughput.
+func TestThroughputWithWrongDeclarations(t *testing.T) {
+	for _, o := range measure(t, "wrong declarations") {
+		require.GreaterOrEqual(t, o.ours.Work.Seconds(), 0.9*o.firstFit.Work.Seconds(), o.user)
 	}
+}
+
+// The week's worst must not cost more evictions than half of least loaded.
+func TestEvictionsAllAtOnce(t *testing.T) {
+	for _, o := range measure(t, "all at once") {
+		require.LessOrEqual(t, 2*o.ours.Evictions, o.leastLoaded.Evictions, o.user)
+	}
+}
+
+// BenchmarkPolicyTable prints the figures of all policies once.
+func BenchmarkPolicyTable(b *testing.B) {
 	fmt.Printf("seed %d; p99 in ms, work and work while away in core minutes\n", seed())
 	fmt.Printf("%-13s %-19s %-16s %7s %6s %7s %7s %6s %8s %6s\n",
 		"user", "scenario", "policy", "p99", "ratio", "work", "evicted", "failed", "away", "urgent")
-	for _, o := range measure(t) {
+	for _, o := range measure(b) {
 		for _, p := range []struct {
 			name string
 			f    experimenter.Figures
