Report a completion that a stop finds at the worker

Cause: TestPromisesHoldUnderFaults failed once with a task that started again after it had completed. A stop that arrives after the attempt has completed was answered with a checkpoint, and the agent reported the attempt as stopped; the task then ran again. Ruled out by reading: a completion lost with the agent or the leader, which are reported again. Whether that run hit this race is not known: it left no trace. Change: the worker's stop returns how the attempt has ended, and the agent reports that. Figures: the new executor test fails with kind stopped in place of completed before, and passes after; three runs of the test under faults side by side passed before the change. Conclusion: finished work is no longer run again because a stop crossed its end.

--- a/control.go
+++ b/control.go
@@ -89,10 +89,11 @@
 		Checkpoint(ctx context.Context, attempt Attempt) (Checkpoint, error)
 		// Throttle limits the attempt to a share of its size, in percent.
 		Throttle(ctx context.Context, attempt Attempt, percent int) error
-		// Stop ends an attempt and returns its last checkpoint. Stopping an
-		// attempt that does not run is no error. The attempt never starts
-		// afterwards.
-		Stop(ctx context.Context, attempt Attempt) (Checkpoint, error)
+		// Stop ends an attempt and returns how it ended, with its last checkpoint:
+		// the attempt may have completed or failed before the stop arrived.
+		// Stopping an attempt that does not run is no error. The attempt never
+		// starts afterwards.
+		Stop(ctx context.Context, attempt Attempt) (WorkerTask, error)
 		// List returns all attempts that run or have ended since the last call
 		// of Forget, once the revision differs from the one seen or the wait is
 		// over.
--- a/internal/agent/announcer/perform.go
+++ b/internal/agent/announcer/perform.go
@@ -30,12 +30,12 @@
 		return
 	case step.Action == jaygw.ActionStop || step.Action == jaygw.ActionKill:
 		a.drainService(id)
-		checkpoint, err := a.worker.Stop(ctx, id)
+		ended, err := a.worker.Stop(ctx, id)
 		if err != nil {
 			a.log.Warnf("agent: task %s was not stopped: %v", id.Task, err)
 		}
 		a.mu.Lock()
-		a.executor.Stopped(id, checkpoint, err, time.Now())
+		a.executor.Stopped(id, ended, err, time.Now())
 		a.mu.Unlock()
 	case step.Action == jaygw.ActionCheckpoint:
 		checkpoint, err := a.worker.Checkpoint(ctx, id)
--- a/internal/agent/executor/executor_test.go
+++ b/internal/agent/executor/executor_test.go
@@ -60,13 +60,23 @@
 	steps := e.Started(id, errors.New("timeout"), start)
 	require.Equal(t, []executor.Step{{Attempt: id, Action: jaygw.ActionStop}}, steps)
 	require.False(t, e.Pending())
-	e.Stopped(id, jaygw.Checkpoint{}, errors.New("timeout"), start)
+	e.Stopped(id, jaygw.WorkerTask{}, errors.New("timeout"), start)
 	require.False(t, e.Pending())
 	require.Len(t, e.Tick(start.Add(time.Second)), 1)
-	e.Stopped(id, jaygw.Checkpoint{}, nil, start.Add(time.Second))
+	e.Stopped(id, jaygw.WorkerTask{State: jaygw.WorkerStopped}, nil, start.Add(time.Second))
 	require.Equal(t, jaygw.AttemptFailed, e.Renew(start, nil, 0).Reports[0].Report.Kind)
 }
 
+// A stop that finds the attempt completed must not report it as stopped: the
+// finished work would run a second time.
+func TestStopOfACompletedAttemptReportsItsCompletion(t *testing.T) {
+	e := running(t)
+	require.Len(t, answer(e, e.Renew(start, nil, 0), start, killed), 1)
+	e.Stopped(id, jaygw.WorkerTask{Attempt: id, Kind: jaygw.BatchTask, State: jaygw.WorkerCompleted}, nil, start)
+	reports := e.Renew(start, nil, 0).Reports
+	require.Equal(t, jaygw.Completed, reports[len(reports)-1].Report.Kind)
+}
+
 // A leader misses an attempt that was started after the renewal was sent, and
 // orders it to be killed.
 func TestKillFromAnOlderRenewalIsIgnored(t *testing.T) {
--- a/internal/agent/executor/worker.go
+++ b/internal/agent/executor/worker.go
@@ -23,8 +23,10 @@
 	return nil
 }
 
-// Stopped takes the result of a stop. A failed stop is tried again.
-func (e *Executor) Stopped(id jaygw.Attempt, checkpoint jaygw.Checkpoint, err error, now time.Time) {
+// Stopped takes the result of a stop: how the attempt has ended at the worker. One
+// that completed before the stop arrived is reported as completed; reported as
+// stopped, its work would run a second time. A failed stop is tried again.
+func (e *Executor) Stopped(id jaygw.Attempt, task jaygw.WorkerTask, err error, now time.Time) {
 	a, ok := e.attempts[id]
 	if !ok || a.phase != stopping {
 		return
@@ -33,7 +35,8 @@
 		a.stopAt = now.Add(stopRetry)
 		return
 	}
-	e.over(id, a, jaygw.Report{Attempt: id, Kind: jaygw.Stopped, Checkpoint: checkpoint, Reason: "stopped"}, now)
+	task.Attempt = id
+	e.over(id, a, lastReport(task, a.kind), now)
 }
 
 // over ends an attempt with its last report.
@@ -98,22 +101,32 @@
 	if a.phase == ended {
 		return nil
 	}
-	last := jaygw.Report{Attempt: id, Kind: jaygw.Stopped, Checkpoint: task.Checkpoint, Reason: task.Reason}
-	switch task.State {
-	case jaygw.WorkerRunning:
+	if task.State == jaygw.WorkerRunning {
 		e.Checkpointed(id, task.Checkpoint)
 		return nil
+	}
+	e.over(id, a, lastReport(task, a.kind), now)
+	return nil
+}
+
+// lastReport returns the report of an attempt that no longer runs.
+func lastReport(task jaygw.WorkerTask, kind jaygw.TaskKind) jaygw.Report {
+	last := jaygw.Report{Attempt: task.Attempt, Kind: jaygw.Stopped, Checkpoint: task.Checkpoint, Reason: task.Reason}
+	switch task.State {
 	case jaygw.WorkerCompleted:
 		last.Kind = jaygw.Completed
-		if a.kind == jaygw.ServiceTask {
+		if kind == jaygw.ServiceTask {
 			last.Kind = jaygw.AttemptFailed
 			last.Reason = "the service replica ended"
 		}
 	case jaygw.WorkerFailed:
 		last.Kind = jaygw.AttemptFailed
+	default:
+		if last.Reason == "" {
+			last.Reason = "stopped"
+		}
 	}
-	e.over(id, a, last, now)
-	return nil
+	return last
 }
 
 // leftOver handles an attempt on the worker's list that may not run here. A list
--- a/internal/platform/connector/connector.go
+++ b/internal/platform/connector/connector.go
@@ -155,8 +155,8 @@
 }
 
 // Stop ends an attempt.
-func (c *Connector) Stop(ctx context.Context, id jaygw.Attempt) (jaygw.Checkpoint, error) {
-	return call[jaygw.Checkpoint](ctx, c, "/stop", id)
+func (c *Connector) Stop(ctx context.Context, id jaygw.Attempt) (jaygw.WorkerTask, error) {
+	return call[jaygw.WorkerTask](ctx, c, "/stop", id)
 }
 
 // List returns the worker's attempts.
--- a/internal/platform/connector/connector_test.go
+++ b/internal/platform/connector/connector_test.go
@@ -89,7 +89,8 @@
 
 	stopped, err := c.Stop(ctx, id)
 	require.NoError(t, err)
-	require.GreaterOrEqual(t, stopped.Progress, checkpoint.Progress)
+	require.Equal(t, jaygw.WorkerStopped, stopped.State)
+	require.GreaterOrEqual(t, stopped.Checkpoint.Progress, checkpoint.Progress)
 	require.NoError(t, c.Forget(ctx, id))
 	requireRefused(t, c.Start(ctx, permit(), window(time.Minute, time.Hour)), emulator.ErrFenced)
 	_, err = c.Stop(ctx, jaygw.Attempt{Task: "print/plates/1", Epoch: 9})
--- a/internal/platform/emulator/emulator.go
+++ b/internal/platform/emulator/emulator.go
@@ -209,20 +209,26 @@
 }
 
 // Stop checkpoints and ends an attempt. A stopped attempt never starts again.
-func (w *Worker) Stop(_ context.Context, id jaygw.Attempt) (jaygw.Checkpoint, error) {
+func (w *Worker) Stop(_ context.Context, id jaygw.Attempt) (jaygw.WorkerTask, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	w.fences[id.Task] = max(w.fences[id.Task], id.Epoch)
 	t, ok := w.tasks[id]
 	if !ok {
-		return jaygw.Checkpoint{}, nil
+		return jaygw.WorkerTask{Attempt: id, State: jaygw.WorkerStopped}, nil
 	}
 	if t.state == jaygw.WorkerRunning {
 		w.checkpoint(t)
 		w.end(t, jaygw.WorkerStopped, w.now())
 	}
-	return t.checkpoint, nil
+	return t.listed(id), nil
+}
+
+func (t *task) listed(id jaygw.Attempt) jaygw.WorkerTask {
+	return jaygw.WorkerTask{
+		Attempt: id, Kind: t.permit.Kind, Service: t.permit.Service, State: t.state, Checkpoint: t.checkpoint,
+	}
 }
 
 // List returns the attempts, in the order of their tasks, once the revision
@@ -250,9 +256,7 @@
 	}
 	list := []jaygw.WorkerTask{}
 	for id, t := range w.tasks {
-		list = append(list, jaygw.WorkerTask{
-			Attempt: id, Kind: t.permit.Kind, Service: t.permit.Service, State: t.state, Checkpoint: t.checkpoint,
-		})
+		list = append(list, t.listed(id))
 	}
 	slices.SortFunc(list, func(a, b jaygw.WorkerTask) int {
 		return cmp.Or(cmp.Compare(a.Attempt.Task, b.Attempt.Task), cmp.Compare(a.Attempt.Epoch, b.Attempt.Epoch))
--- a/internal/platform/emulator/handler.go
+++ b/internal/platform/emulator/handler.go
@@ -34,7 +34,7 @@
 	tasks.HandleFunc("/throttle", handle(w, func(r *http.Request, q connector.ThrottleRequest) (struct{}, error) {
 		return struct{}{}, w.Throttle(r.Context(), q.Attempt, q.Percent)
 	}))
-	tasks.HandleFunc("/stop", handle(w, func(r *http.Request, id jaygw.Attempt) (jaygw.Checkpoint, error) {
+	tasks.HandleFunc("/stop", handle(w, func(r *http.Request, id jaygw.Attempt) (jaygw.WorkerTask, error) {
 		return w.Stop(r.Context(), id)
 	}))
 	tasks.HandleFunc("/list", handle(w, func(r *http.Request, q connector.ListRequest) (jaygw.WorkerList, error) {
--- a/internal/schedule/dispatcher/world_test.go
+++ b/internal/schedule/dispatcher/world_test.go
@@ -496,7 +496,7 @@
 	}
 	w.on(n, w.delay(), func() {
 		var err error
-		var checkpoint jaygw.Checkpoint
+		var end jaygw.WorkerTask
 		switch {
 		case step.Start != nil:
 			before := len(n.worker.History())
@@ -508,7 +508,7 @@
 			_ = n.worker.Forget(ctx, id)
 			return
 		default:
-			checkpoint, err = n.worker.Stop(ctx, id)
+			end, err = n.worker.Stop(ctx, id)
 		}
 		if w.chance(w.loss / 2) {
 			err = errLost
@@ -521,7 +521,7 @@
 			if step.Start != nil {
 				w.perform(n, a, a.Started(id, err, now))
 			} else {
-				a.Stopped(id, checkpoint, err, now)
+				a.Stopped(id, end, err, now)
 			}
 			w.report(n, a)
 		})
