Share the loop over batched commands and rename three observers

Cause: five functions of the applier repeated one loop; three names in the launcher and one in a test were figurative. Change: applier.each; eventObserver, counterObserver and flushDelay in the launcher. No behavior changes.

--- a/internal/control/applier/keys.go
+++ b/internal/control/applier/keys.go
@@ -9,11 +9,7 @@
 const recordOverhead = 128
 
 func (m *Machine) claimKeys(batch jaygw.ClaimKeys) jaygw.Result {
-	results := make([]jaygw.ItemResult, len(batch.Claims))
-	for i, claim := range batch.Claims {
-		results[i] = m.claim(claim)
-	}
-	return jaygw.Result{Results: results}
+	return each(batch.Claims, m.claim)
 }
 
 func (m *Machine) claim(c jaygw.KeyClaim) jaygw.ItemResult {
@@ -82,11 +78,7 @@
 }
 
 func (m *Machine) settleKeys(batch jaygw.SettleKeys) jaygw.Result {
-	results := make([]jaygw.ItemResult, len(batch.Settlements))
-	for i, settlement := range batch.Settlements {
-		results[i] = m.settle(settlement)
-	}
-	return jaygw.Result{Results: results}
+	return each(batch.Settlements, m.settle)
 }
 
 func (m *Machine) settle(s jaygw.Settlement) jaygw.ItemResult {
--- a/internal/control/applier/tasks.go
+++ b/internal/control/applier/tasks.go
@@ -7,11 +7,7 @@
 )
 
 func (m *Machine) grantTasks(batch jaygw.GrantTasks) jaygw.Result {
-	results := make([]jaygw.ItemResult, len(batch.Grants))
-	for i, grant := range batch.Grants {
-		results[i] = m.grant(grant)
-	}
-	return jaygw.Result{Results: results}
+	return each(batch.Grants, m.grant)
 }
 
 // grant starts a new attempt. Every rule is checked here again, so that a
@@ -94,11 +90,7 @@
 }
 
 func (m *Machine) resizeTasks(batch jaygw.ResizeTasks) jaygw.Result {
-	results := make([]jaygw.ItemResult, len(batch.Resizes))
-	for i, resize := range batch.Resizes {
-		results[i] = m.resize(resize)
-	}
-	return jaygw.Result{Results: results}
+	return each(batch.Resizes, m.resize)
 }
 
 func (m *Machine) resize(r jaygw.Resize) jaygw.ItemResult {
@@ -132,11 +124,7 @@
 }
 
 func (m *Machine) evictTasks(batch jaygw.EvictTasks) jaygw.Result {
-	results := make([]jaygw.ItemResult, len(batch.Evictions))
-	for i, eviction := range batch.Evictions {
-		results[i] = m.evict(eviction)
-	}
-	return jaygw.Result{Results: results}
+	return each(batch.Evictions, m.evict)
 }
 
 func (m *Machine) evict(e jaygw.Eviction) jaygw.ItemResult {
@@ -288,6 +276,16 @@
 	}
 }
 
+// each applies the items of a batched command one by one; each succeeds or fails
+// alone.
+func each[T any](items []T, apply func(T) jaygw.ItemResult) jaygw.Result {
+	results := make([]jaygw.ItemResult, len(items))
+	for i, one := range items {
+		results[i] = apply(one)
+	}
+	return jaygw.Result{Results: results}
+}
+
 func item(code jaygw.RefusalCode, format string, args ...any) jaygw.ItemResult {
 	return jaygw.ItemResult{Code: code, Detail: clip(fmt.Sprintf(format, args...))}
 }
--- a/internal/daemon/launcher/agent.go
+++ b/internal/daemon/launcher/agent.go
@@ -28,9 +28,9 @@
 	// the entries know that it leaves.
 	defaultLeaveWait = 3 * time.Second
 
-	// lastWords is the time for responses that were sent to be read before the
+	// flushDelay is the time for responses that were sent to be read before the
 	// connections close.
-	lastWords = 100 * time.Millisecond
+	flushDelay = 100 * time.Millisecond
 )
 
 // startAgent starts the agent beside an upstream.
@@ -85,6 +85,6 @@
 	if err := requests.Drain(ctx); err != nil {
 		return eris.Wrap(err, "finish the requests in flight")
 	}
-	time.Sleep(lastWords)
+	time.Sleep(flushDelay)
 	return nil
 }
--- a/internal/daemon/launcher/tally.go
+++ b/internal/daemon/launcher/counters.go
@@ -5,9 +5,9 @@
 	metrics "github.com/rcrowley/go-metrics"
 )
 
-// tally counts applied changes: batch throughput, evictions, and how far the
+// counterObserver counts applied changes: batch throughput, evictions, and how far the
 // documents are.
-type tally struct {
+type counterObserver struct {
 	granted   metrics.Counter
 	completed metrics.Counter
 	failed    metrics.Counter
@@ -18,8 +18,8 @@
 	index     metrics.Gauge
 }
 
-func newTally(registry metrics.Registry) *tally {
-	return &tally{
+func newCounterObserver(registry metrics.Registry) *counterObserver {
+	return &counterObserver{
 		granted:   metrics.GetOrRegisterCounter("tasks.granted", registry),
 		completed: metrics.GetOrRegisterCounter("tasks.completed", registry),
 		failed:    metrics.GetOrRegisterCounter("tasks.failed-attempts", registry),
@@ -32,7 +32,7 @@
 }
 
 // TaskChanged counts changes of tasks.
-func (t *tally) TaskChanged(before, after *jaygw.Task) {
+func (t *counterObserver) TaskChanged(before, after *jaygw.Task) {
 	t.level(before, -1)
 	t.level(after, 1)
 	if before == nil || after == nil {
@@ -48,7 +48,7 @@
 	t.evicted.Inc(int64(max(0, after.Evictions-before.Evictions)))
 }
 
-func (t *tally) level(task *jaygw.Task, change int64) {
+func (t *counterObserver) level(task *jaygw.Task, change int64) {
 	switch {
 	case task == nil:
 	case task.State == jaygw.Waiting:
@@ -59,13 +59,13 @@
 }
 
 // VMChanged counts nothing.
-func (t *tally) VMChanged(_, _ *jaygw.VM) {}
+func (t *counterObserver) VMChanged(_, _ *jaygw.VM) {}
 
 // DomainChanged counts nothing.
-func (t *tally) DomainChanged(*jaygw.FailureDomain) {}
+func (t *counterObserver) DomainChanged(*jaygw.FailureDomain) {}
 
 // DocumentChanged counts promotions.
-func (t *tally) DocumentChanged(after *jaygw.Submitted) {
+func (t *counterObserver) DocumentChanged(after *jaygw.Submitted) {
 	if after.State == jaygw.Production {
 		t.promoted.Inc(1)
 		t.index.Update(int64(after.Index))
@@ -73,7 +73,7 @@
 }
 
 // Reset starts the levels again: the changes of a snapshot are not observed.
-func (t *tally) Reset() {
+func (t *counterObserver) Reset() {
 	t.waiting.Clear()
 	t.holding.Clear()
 }
--- a/internal/daemon/launcher/narrator.go
+++ b/internal/daemon/launcher/events.go
@@ -7,13 +7,13 @@
 	"github.com/jaygw/jaygw/internal/observe/recorder"
 )
 
-// narrator records applied changes on the time line.
-type narrator struct {
+// eventObserver records applied changes on the time line.
+type eventObserver struct {
 	recorder *recorder.Recorder
 }
 
 // TaskChanged records changes of a task's state.
-func (n *narrator) TaskChanged(before, after *jaygw.Task) {
+func (n *eventObserver) TaskChanged(before, after *jaygw.Task) {
 	if after == nil || before != nil && before.State == after.State {
 		return
 	}
@@ -43,7 +43,7 @@
 }
 
 // VMChanged records new, changed and removed VMs.
-func (n *narrator) VMChanged(before, after *jaygw.VM) {
+func (n *eventObserver) VMChanged(before, after *jaygw.VM) {
 	switch {
 	case after == nil:
 		n.recorder.Record(jaygw.EventVM, "removed", "vm:"+before.Name)
@@ -57,7 +57,7 @@
 }
 
 // DomainChanged records that a failure domain is out or in.
-func (n *narrator) DomainChanged(after *jaygw.FailureDomain) {
+func (n *eventObserver) DomainChanged(after *jaygw.FailureDomain) {
 	cause := "in"
 	if after.Out {
 		cause = "out"
@@ -66,10 +66,10 @@
 }
 
 // DocumentChanged records submissions and promotions.
-func (n *narrator) DocumentChanged(after *jaygw.Submitted) {
+func (n *eventObserver) DocumentChanged(after *jaygw.Submitted) {
 	n.recorder.Record(jaygw.EventDocument, fmt.Sprintf("document %d is %s", after.Document.Number, after.State),
 		"environment:"+after.Document.Environment, "digest:"+after.Digest)
 }
 
 // Reset records that the state was replaced.
-func (n *narrator) Reset() {}
+func (n *eventObserver) Reset() {}
--- a/internal/daemon/launcher/replica.go
+++ b/internal/daemon/launcher/replica.go
@@ -26,9 +26,9 @@
 	scheduling := dispatcher.New(dispatcher.WithLogger(p.log))
 	machine := applier.New(p.settings.Group,
 		applier.WithObserver(scheduling.Observer()),
-		applier.WithObserver(&narrator{recorder: p.recorder}),
+		applier.WithObserver(&eventObserver{recorder: p.recorder}),
 		applier.WithObserver(auditor.New(p.registry, p.log)),
-		applier.WithObserver(newTally(p.registry)))
+		applier.WithObserver(newCounterObserver(p.registry)))
 	self := jaygw.Member{ID: control.ID, Name: p.settings.Name, Address: p.address(), Domain: p.settings.Domain, Voter: true}
 	replica, err := coordinator.Open(
 		coordinator.Settings{
--- a/internal/test/whole/faults_test.go
+++ b/internal/test/whole/faults_test.go
@@ -248,8 +248,8 @@
 	for _, run := range runs {
 		id := run.Attempt.Task
 		if before, ok := last[id]; ok {
-			require.False(e.t, before.End.IsZero() || before.End.After(run.Start), "task %s ran in two places at once\n%s", id, e.story(id))
-			require.Zero(e.t, completed[id], "task %s started again after it had completed\n%s", id, e.story(id))
+			require.False(e.t, before.End.IsZero() || before.End.After(run.Start), "task %s ran in two places at once\n%s", id, e.history(id))
+			require.Zero(e.t, completed[id], "task %s started again after it had completed\n%s", id, e.history(id))
 		}
 		if _, known := last[id]; !known && run.Kind == jaygw.BatchTask {
 			batch++
@@ -269,8 +269,8 @@
 	}
 }
 
-// story returns what the time line and the workers know of a task.
-func (e *estate) story(id jaygw.TaskID) string {
+// history returns what the time line and the workers know of a task.
+func (e *estate) history(id jaygw.TaskID) string {
 	var lines []string
 	for _, event := range e.timeline.Events {
 		if slices.Contains(event.Subjects, "task:"+string(id)) {
