Ask a worker again that stopped answering, and count lists and orders apart

Cause: an agent with no runs left does not ask its worker. When a worker answered nothing, its runs lapsed, the agent held none, and the worker stayed unhealthy until its next life: nothing asked it. Besides, an answer to a list cleared the silence of orders and the other way round, so a worker that answers only one of them kept getting runs. A listed end that is not recorded yet makes the worker answer at once, so agents asked in a loop of 1 to 3 ms until the end was committed. Ruled out: a lease that the leader does not end (the leader had the ends: the agent reported them). Change: an agent asks a silent worker until it lists; lists and orders have their own contact; the next list waits for ends to be recorded.

--- a/internal/agent/attender/attender.go
+++ b/internal/agent/attender/attender.go
@@ -75,6 +75,10 @@
 	// not wait.
 	holdPause = 50 * time.Millisecond
 
+	// recordWait is how long a call for a list waits for listed ends to be recorded. The
+	// worker answers at once until then, with what is known already.
+	recordWait = 100 * time.Millisecond
+
 	tickInterval = 100 * time.Millisecond
 )
 
@@ -325,12 +329,29 @@
 			a.workerLost = lost
 			a.log.WithField("error", text(err)).Warn("agent: worker lost or regained")
 		}
-		if err != nil || urgent {
+		a.mu.Lock()
+		unrecorded := a.runner.Unrecorded()
+		a.mu.Unlock()
+		switch {
+		case err != nil || urgent:
 			wait(ctx, holdPause)
+		case unrecorded:
+			a.await(ctx, recordWait)
 		}
 	}
 }
 
+// await waits for a response of the leader or the result of an order, for a limited time.
+func (a *Attender) await(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.listen:
+	case <-timer.C:
+	}
+}
+
 func (a *Attender) holdOnce(ctx context.Context, wanted time.Duration) error {
 	begun := a.now()
 	a.mu.Lock()
@@ -342,7 +363,7 @@
 	list, err := a.worker.Hold(bounded, life, hold)
 	a.mu.Lock()
 	if err != nil {
-		a.runner.Unlisted(err, a.now())
+		a.runner.Unlisted(a.now())
 		a.mu.Unlock()
 		return err
 	}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -35,8 +35,8 @@
 		ends     []numberedEnd           // not yet recorded, in the order of their numbers
 		seen     uint64                  // all ends up to this number are recorded
 		listed   time.Time               // last list, or the start of the worker's life here
-		failing  time.Time               // first call without an answer since the last answer
 		extended time.Time               // time until which the worker may go on by itself
+		contact  contact
 	}
 
 	phase int
@@ -96,9 +96,6 @@
 	// clockMargin is by how much a worker's clock may be slow, in percent, with a
 	// reserve of one.
 	clockMargin = 3
-
-	// silence is the time without an answer after which a worker gets no new runs.
-	silence = 700 * time.Millisecond
 )
 
 // New returns the runner of a new agent process.
@@ -123,7 +120,7 @@
 		r.runs, r.pacer = map[jaygw.Run]*run{}, pacer.New()
 		r.ends, r.seen, r.session = nil, 0, 0
 		r.clock, r.clockAt = clock, now
-		r.listed, r.failing, r.extended = now, time.Time{}, time.Time{}
+		r.listed, r.extended, r.contact = now, time.Time{}, contact{answered: now}
 		r.worker = &w
 		return true
 	}
@@ -148,9 +145,7 @@
 		VM: r.vm, Process: r.process, Sequence: r.sequence,
 		Worker: &worker, Served: r.served, Hold: hold,
 	}
-	if r.isSilent(now) {
-		a.Unhealthy = "the worker does not answer"
-	}
+	a.Unhealthy = r.contact.fault(now)
 	for _, id := range r.ids() {
 		known := r.runs[id]
 		at := jaygw.KnownRun{
@@ -261,7 +256,7 @@
 
 // Started takes the result of a start.
 func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerReply, err error, now time.Time) {
-	r.answered(reply, err, now)
+	r.ordered(reply, err, now)
 	known := r.runs[id]
 	if known == nil || known.phase != starting {
 		return
@@ -295,7 +290,7 @@
 
 // Stopped takes the result of a stop. One without an answer is sent again.
 func (r *Runner) Stopped(id jaygw.Run, reply jaygw.WorkerReply, err error, now time.Time) {
-	r.answered(reply, err, now)
+	r.ordered(reply, err, now)
 	known := r.runs[id]
 	if known == nil || known.phase != stopping {
 		return
@@ -326,10 +321,10 @@
 	return actions
 }
 
-// lapse ends the runs of a worker that does not answer, once it cannot go on by
+// lapse ends the runs of a worker that does not list them, once it cannot go on by
 // itself any more.
 func (r *Runner) lapse(now time.Time) {
-	if r.failing.IsZero() || r.extended.IsZero() || !now.After(r.extended) {
+	if r.contact.unlisted.IsZero() || r.extended.IsZero() || !now.After(r.extended) {
 		return
 	}
 	for _, id := range r.ids() {
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -28,6 +28,7 @@
 //	hold                         a call for a list is sent
 //	listed AGE [running=RUN] [ended=NUMBER:RUN:HOW]   asked for AGE ago
 //	unlisted                     a call for a list has no answer
+//	idle                         whether the worker need not be asked
 //	due
 type player struct {
 	t       *testing.T
@@ -118,7 +119,13 @@
 	case "listed":
 		p.listed(arguments, at, now)
 	case "unlisted":
-		p.runner.Unlisted(errors.New("no answer"), now)
+		p.runner.Unlisted(now)
+	case "idle":
+		if p.runner.Idle() {
+			p.results = append(p.results, "idle")
+		} else {
+			p.results = append(p.results, "asks")
+		}
 	case "due":
 		p.note(p.runner.Due(now))
 	default:
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -9,14 +9,19 @@
 	"github.com/jaygw/jaygw/internal/agent/pacer"
 )
 
-// Idle reports whether the worker need not be asked: nothing runs there.
+// Idle reports whether the worker need not be asked: it answers, and nothing runs
+// there.
 func (r *Runner) Idle() bool {
 	if r.worker == nil || r.session == 0 {
 		return true
 	}
-	return len(r.runs) == 0 && len(r.ends) == 0 && !r.listed.IsZero() && r.adopted()
+	return r.contact.unlisted.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.listed.IsZero() && r.adopted()
 }
 
+// Unrecorded reports whether the worker has listed ends that it may not forget yet. It
+// answers a call for a list at once then.
+func (r *Runner) Unrecorded() bool { return len(r.ends) > 0 }
+
 // adopted reports whether the worker has been asked since its session was opened: it
 // may have runs of an earlier agent process.
 func (r *Runner) adopted() bool { return !r.extended.IsZero() }
@@ -43,7 +48,7 @@
 	if longest := now.Add(r.maxHold); longest.Before(end) {
 		end = longest
 	}
-	if end.After(now) && r.failing.IsZero() {
+	if end.After(now) && r.contact.unlisted.IsZero() {
 		r.extends(end)
 		hold.Deadline = r.onClock(end)
 	}
@@ -64,26 +69,30 @@
 	return r.clock + ahead - ahead*clockMargin/100
 }
 
-// answered notes whether a call was answered, and the reading in the answer.
-func (r *Runner) answered(reply jaygw.WorkerReply, err error, now time.Time) {
+// ordered notes whether an order was answered, and the reading in the answer.
+func (r *Runner) ordered(reply jaygw.WorkerReply, err error, now time.Time) {
 	if err != nil {
-		if r.failing.IsZero() {
-			r.failing = now
-		}
+		r.contact.unanswered++
+		r.contact.lost = now
 		return
 	}
-	r.failing = time.Time{}
+	r.contact.answered, r.contact.unanswered = now, 0
+	r.read(reply, now)
+}
+
+// read takes a reading of the worker's clock.
+func (r *Runner) read(reply jaygw.WorkerReply, now time.Time) {
 	if reply.Clock > r.clock {
 		r.clock, r.clockAt = reply.Clock, now
 	}
 }
 
-func (r *Runner) isSilent(now time.Time) bool {
-	return !r.failing.IsZero() && now.Sub(r.failing) > silence
-}
-
 // Unlisted takes a call for a list that had no answer.
-func (r *Runner) Unlisted(err error, now time.Time) { r.answered(jaygw.WorkerReply{}, err, now) }
+func (r *Runner) Unlisted(now time.Time) {
+	if r.contact.unlisted.IsZero() {
+		r.contact.unlisted = now
+	}
+}
 
 // Listed takes a list that was asked for at begun from a life of the worker. It
 // returns what to do and whether there is something to report.
@@ -91,8 +100,8 @@
 	if r.worker == nil || list.Denied != "" || list.Life != r.worker.Life {
 		return nil, false
 	}
-	r.answered(list.WorkerReply, nil, now)
-	r.listed = now
+	r.read(list.WorkerReply, now)
+	r.listed, r.contact.unlisted = now, time.Time{}
 	if r.extended.IsZero() {
 		r.extended = now
 	}
@@ -149,7 +158,7 @@
 // Paced takes the result of a change of pace. Without an answer the old one counts,
 // and the next list decides again.
 func (r *Runner) Paced(pace pacer.Pace, reply jaygw.WorkerReply, err error, now time.Time) {
-	r.answered(reply, err, now)
+	r.ordered(reply, err, now)
 	if err == nil && reply.Denied == "" {
 		r.pacer.Set(pace)
 	}
