Keep the leader's work per attendance and decision the same in a large fleet

Cause: at 200 VMs each look at a VM's figures compared each of its runs with all runs of the estate, found the spare work of all VMs anew for each of them, each decision looked at all VMs for each waiting step, every end of a run started one, and woke the held attendance of its VM. Ruled out: commits (no step of the replica above 20 ms on a trial with debug lines), the entries' processor share. Change: runs are indexed by step, the spare work of a VM is kept, sizes that found no room are not tried again in a decision, moves are looked for ten times a second, decisions rest for twice their time, and the end of a run wakes only the leader.

--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -211,7 +211,7 @@
 	p := r.byVM[vm][e.Run]
 	if p != nil {
 		r.release(p)
-		r.notify(vm)
+		r.notify("") // room for others; the VM's agent knows of the end
 	}
 	if w == nil {
 		return
--- a/internal/schedule/allocator/allocator.go
+++ b/internal/schedule/allocator/allocator.go
@@ -71,6 +71,7 @@
 		view   View
 		now    jaygw.Time
 		nodes  map[string][]*node // by service
+		full   full
 		grants []jaygw.RunGrant
 	}
 )
@@ -101,7 +102,7 @@
 
 // Decide returns the runs to start.
 func Decide(view View, now jaygw.Time) []jaygw.RunGrant {
-	d := &decision{view: view, now: now, nodes: map[string][]*node{}}
+	d := &decision{view: view, now: now, nodes: map[string][]*node{}, full: full{}}
 	waiting := d.batches()
 	if len(waiting) == 0 {
 		return nil
@@ -120,6 +121,29 @@
 	return d.grants
 }
 
+// Waits reports whether any task waits for a VM.
+func Waits(workflows []*registrar.Workflow, now jaygw.Time) bool {
+	for _, w := range workflows {
+		for i := range w.Occurrences {
+			if w.Spec.Due(i) > now {
+				continue
+			}
+			for j := range w.Occurrences[i].Steps {
+				if waits(w, i, j) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// waits reports whether a step that is due has tasks to start.
+func waits(w *registrar.Workflow, occurrence, step int) bool {
+	s := w.Occurrences[occurrence].Steps[step]
+	return s.Done+s.Held < len(s.Tasks) && w.Ready(occurrence, step)
+}
+
 // Advised returns the steps of advised queues with tasks that wait, the most urgent
 // first.
 func Advised(view View, now jaygw.Time) []jaygw.StepTask {
@@ -148,8 +172,8 @@
 			if o.Done == len(o.Steps) || w.Spec.Due(i) > d.now {
 				continue
 			}
-			for j, s := range o.Steps {
-				if s.Done+s.Held < len(s.Tasks) && w.Ready(i, j) {
+			for j := range o.Steps {
+				if waits(w, i, j) {
 					waiting = append(waiting, &batch{
 						workflow: w, queue: queue, occurrence: i, step: j, urgency: urgencyOf(w, queue, i, d.now),
 					})
@@ -178,17 +202,31 @@
 			continue
 		}
 		id := jaygw.StepTask{Workflow: b.workflow.Spec.ID, Occurrence: b.occurrence, Step: b.step, Index: i}
-		n := best(nodes, step, id, &tasks[i], d.starves(b))
+		n := d.best(b, nodes, step, id, &tasks[i])
 		if n == nil {
-			if len(tasks[i].FailedOn) == 0 {
-				return // the other tasks are of the same size
-			}
-			continue
+			return // the other tasks are of the same size
 		}
 		d.grant(b, n, id, step, tasks[i].Number+1)
 	}
 }
 
+// best returns the VM that suits a task of a batch best, or nil.
+func (d *decision) best(b *batch, nodes []*node, step *jaygw.Step, id jaygw.StepTask, task *registrar.TaskState) *node {
+	starves := d.starves(b)
+	if b.queue.Advised {
+		return best(nodes, step, id, task, starves)
+	}
+	s := shapeOf(b.queue.Service, step, starves)
+	if d.full.has(s, step.Size) {
+		return nil
+	}
+	n := best(nodes, step, id, task, starves)
+	if n == nil {
+		d.full.note(s, step)
+	}
+	return n
+}
+
 // approved returns the VMs that may run a batch: those of its pool, and on an advised
 // queue those with a ticket.
 func (d *decision) approved(b *batch) []*node {
@@ -226,6 +264,9 @@
 		}
 		number = max(number, tasks[i].Number+1)
 	}
+	if d.best(b, nodes, step, b.id(), &tasks[0]) == nil {
+		return // not even one of them fits
+	}
 	copies := make([]*node, len(nodes))
 	for i, n := range nodes {
 		copies[i] = n.clone()
--- a/internal/schedule/foreman/foreman.go
+++ b/internal/schedule/foreman/foreman.go
@@ -54,6 +54,11 @@
 	// idleTick is the time between two decisions when nothing changes.
 	idleTick = 100 * time.Millisecond
 
+	// restShare is the rest after a decision, in multiples of its time. Load pattern: under
+	// overload each end of a run wakes the leader, and decisions that find no room would
+	// leave it no time for attendances.
+	restShare = 2
+
 	// proposeTimeout bounds a proposal, so that a lost quorum does not stop the loop.
 	proposeTimeout = 2 * time.Second
 
@@ -127,12 +132,16 @@
 		case <-ticker.C:
 		case <-f.wake:
 		}
-		f.step(ctx, time.Now())
+		took := f.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(took*restShare, idleTick)):
+		}
 	}
 }
 
-// step proposes what is to be decided, in order.
-func (f *Foreman) step(ctx context.Context, now time.Time) {
+// step proposes what is to be decided, in order. It returns how long the decision took.
+func (f *Foreman) step(ctx context.Context, now time.Time) time.Duration {
 	var commands []jaygw.Command
 	f.mu.Lock()
 	if f.leads {
@@ -142,10 +151,12 @@
 	}
 	term := f.term
 	f.mu.Unlock()
+	took := time.Since(now)
 	ctx = jaygw.InTerm(ctx, term)
 	for _, command := range commands {
 		f.propose(ctx, command, now)
 	}
+	return took
 }
 
 func outDomains(machine *applier.Machine) map[string]bool {
--- a/internal/schedule/foreman/learn.go
+++ b/internal/schedule/foreman/learn.go
@@ -14,8 +14,7 @@
 // their steps, and tells the estimator which images were beside them.
 func (r *roster) learn(name string, state *registrar.Registrar, now time.Time) {
 	vm := r.vms[name]
-	beside := pressing(vm, state)
-	if len(beside) == 0 {
+	if len(vm.beside) == 0 {
 		return
 	}
 	for run, known := range vm.known {
@@ -24,7 +23,7 @@
 			continue
 		}
 		inverse := estimator.Inverse(known.Tail, step.LatencyTarget)
-		r.images.Observe(step.Image, inverse, r.undisturbed(name, run, step, state), beside, now)
+		r.images.Observe(step.Image, inverse, r.undisturbed(name, run, step), vm.beside, now)
 	}
 }
 
@@ -78,23 +77,19 @@
 // by the other tasks of its step: the median of those without spare work beside them or,
 // if there are none, of the others with the expected fall made up for. It is zero if
 // there are no others.
-func (r *roster) undisturbed(name string, run jaygw.Run, step *jaygw.Step, state *registrar.Registrar) float64 {
+func (r *roster) undisturbed(name string, run jaygw.Run, step *jaygw.Step) float64 {
 	var clean, pressed []float64
-	for other, vm := range r.vms {
-		if other == name {
+	for sibling, other := range r.steps[stepOf(run.Task)] {
+		vm := r.vms[other]
+		known := vm.known[sibling]
+		if other == name || known.Tail <= 0 {
 			continue
 		}
-		beside := pressing(vm, state)
-		for sibling, known := range vm.known {
-			if known.Tail <= 0 || !sameStep(sibling.Task, run.Task) {
-				continue
-			}
-			inverse := estimator.Inverse(known.Tail, step.LatencyTarget)
-			if len(beside) == 0 {
-				clean = append(clean, inverse)
-			} else {
-				pressed = append(pressed, inverse+r.images.Fall(step.Image, beside))
-			}
+		inverse := estimator.Inverse(known.Tail, step.LatencyTarget)
+		if len(vm.beside) == 0 {
+			clean = append(clean, inverse)
+		} else {
+			pressed = append(pressed, inverse+r.images.Fall(step.Image, vm.beside))
 		}
 	}
 	if len(clean) > 0 {
@@ -112,10 +107,6 @@
 	return values[len(values)/2]
 }
 
-func sameStep(a, b jaygw.StepTask) bool {
-	return a.Workflow == b.Workflow && a.Occurrence == b.Occurrence && a.Step == b.Step
-}
-
 func stepIn(state *registrar.Registrar, run jaygw.Run) *jaygw.Step {
 	w := state.Workflow(run.Task.Workflow)
 	if w == nil || run.Task.Step >= len(w.Spec.Steps) {
--- a/internal/schedule/foreman/progress.go
+++ b/internal/schedule/foreman/progress.go
@@ -24,6 +24,10 @@
 	// take before it moves.
 	moveGain = 1.3
 
+	// moveInterval is the time between two looks for runs to move. Progress and paces are
+	// reported less often than decisions are made.
+	moveInterval = 100 * time.Millisecond
+
 	// maxMoves bounds the moves of one decision.
 	maxMoves = 16
 
@@ -64,17 +68,12 @@
 // there are too few.
 func (r *roster) usualRate(vm string, run jaygw.Run, state *registrar.Registrar, wall jaygw.Time) float64 {
 	var rates []float64
-	for other, a := range r.vms {
+	for sibling, other := range r.steps[stepOf(run.Task)] {
 		if other == vm {
 			continue
 		}
-		for sibling, known := range a.known {
-			if !sameStep(sibling.Task, run.Task) {
-				continue
-			}
-			if rate, ok := r.rate(other, sibling, known, state, wall); ok {
-				rates = append(rates, rate)
-			}
+		if rate, ok := r.rate(other, sibling, r.vms[other].known[sibling], state, wall); ok {
+			rates = append(rates, rate)
 		}
 	}
 	if len(rates) < leastSiblings {
@@ -94,6 +93,9 @@
 			continue
 		}
 		slow := r.speeds.Speed(name, now) < slowSpeed
+		if !slow && !vm.worker.Draining && len(vm.still) == 0 {
+			continue
+		}
 		for _, run := range slices.SortedFunc(maps.Keys(vm.known), registrar.CompareRuns) {
 			if len(moves) >= maxMoves {
 				return moves
--- a/internal/schedule/foreman/roster.go
+++ b/internal/schedule/foreman/roster.go
@@ -20,6 +20,8 @@
 		since time.Time // start of the leadership
 		terms time.Duration
 		vms   map[string]*attendant
+		steps siblings
+		moved time.Time // last look for runs to move
 
 		images *estimator.Images
 		speeds *estimator.Speeds
@@ -38,6 +40,7 @@
 		leaseEnd  time.Time
 		unhealthy string
 		known     map[jaygw.Run]jaygw.KnownRun
+		beside    []estimator.Pressing    // spare work among the known runs
 		still     map[jaygw.Run]time.Time // spare runs that hardly work, since when
 		expiring  bool                    // the end of the lease is proposed
 	}
@@ -67,14 +70,14 @@
 
 func newRoster(lease time.Duration) *roster {
 	return &roster{
-		vms: map[string]*attendant{}, terms: lease, images: estimator.NewImages(), speeds: estimator.NewSpeeds(),
+		vms: map[string]*attendant{}, steps: siblings{}, terms: lease, images: estimator.NewImages(), speeds: estimator.NewSpeeds(),
 		tickets: newTickets(),
 	}
 }
 
 func (r *roster) lead(term uint64, leads bool, now time.Time) {
 	r.leads, r.term, r.since = leads, term, now
-	r.vms = map[string]*attendant{}
+	r.vms, r.steps = map[string]*attendant{}, siblings{}
 }
 
 // opening returns the command that a new agent process or a new life of its worker
@@ -116,12 +119,18 @@
 		r.speeds.Forget(a.VM)
 	}
 	if vm.session != session.Number || a.Sequence > vm.sequence {
+		if a.Worker.Draining && (vm.worker == nil || !vm.worker.Draining) {
+			r.moved = time.Time{} // its runs move at once
+		}
 		vm.session, vm.sequence = session.Number, a.Sequence
 		vm.worker, vm.unhealthy = a.Worker, a.Unhealthy
-		vm.known = make(map[jaygw.Run]jaygw.KnownRun, len(a.Known))
+		known := make(map[jaygw.Run]jaygw.KnownRun, len(a.Known))
 		for _, k := range a.Known {
-			vm.known[k.Run] = k
+			known[k.Run] = k
 		}
+		r.steps.replace(a.VM, vm.known, known)
+		vm.known = known
+		vm.beside = pressing(vm, state)
 	}
 	vm.heard = now
 	vm.noteStill(now)
@@ -214,8 +223,14 @@
 	if state.Catalog() == nil {
 		return commands
 	}
-	if moves := r.moves(state, now, wall); len(moves) > 0 {
-		commands = append(commands, jaygw.Command{StopRuns: &jaygw.StopRuns{Stops: moves}})
+	if now.Sub(r.moved) >= moveInterval {
+		r.moved = now
+		if moves := r.moves(state, now, wall); len(moves) > 0 {
+			commands = append(commands, jaygw.Command{StopRuns: &jaygw.StopRuns{Stops: moves}})
+		}
+	}
+	if !allocator.Waits(state.Active(), wall) {
+		return commands
 	}
 	view := allocator.View{
 		Catalog: state.Catalog(), Workflows: state.Active(), VMs: r.usable(state, out, now), Effect: r.images.Effect,
--- a/internal/schedule/foreman/roster_test.go
+++ b/internal/schedule/foreman/roster_test.go
@@ -11,7 +11,7 @@
 
 // estate drives a roster and a registrar on virtual time, as a leader would.
 type estate struct {
-	t      *testing.T
+	t      testing.TB
 	roster *roster
 	state  *registrar.Registrar
 	now    time.Time
@@ -23,7 +23,7 @@
 
 const testLease = 4 * time.Second
 
-func newEstate(t *testing.T, vms ...string) *estate {
+func newEstate(t testing.TB, vms ...string) *estate {
 	e := &estate{
 		t: t, roster: newRoster(testLease), now: time.Unix(1000, 0), out: map[string]bool{}, known: map[string][]jaygw.KnownRun{},
 	}
