--- a/internal/control/coordinator/calls.go
+++ b/internal/control/coordinator/calls.go
@@ -62,6 +62,7 @@
 	if status := r.Status(); status.Leader != status.ID {
 		return jaygw.Result{}, jaygw.ErrNotLeader
 	}
+	full := r.room.lost()
 	c := &call{done: make(chan outcome, 1)}
 	input := replicator.Input{}
 	id, wall := r.ids.Add(1), jaygw.TimeOf(time.Now())
@@ -81,10 +82,10 @@
 	case o := <-c.done:
 		return o.result, o.err
 	case <-ctx.Done():
-		return jaygw.Result{}, jaygw.ErrOutcomeUnknown
+	case <-full:
 	case <-r.done:
-		return jaygw.Result{}, jaygw.ErrOutcomeUnknown
 	}
+	return jaygw.Result{}, jaygw.ErrOutcomeUnknown
 }
 
 func (r *Replica) enqueue(ctx context.Context, e event) error {
@@ -165,6 +166,9 @@
 }
 
 func (r *Replica) confirmOnce(ctx context.Context) (jaygw.Index, error) {
+	if r.room.isLost() {
+		return 0, jaygw.ErrNotCurrent
+	}
 	c := &call{done: make(chan outcome, 1)}
 	id := r.ids.Add(1)
 	if err := r.enqueue(ctx, event{input: replicator.Input{Read: id}, call: c}); err != nil {
--- a/internal/control/coordinator/disk_test.go
+++ b/internal/control/coordinator/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/jaygw/jaygw/internal/control/journaler"
@@ -14,6 +15,7 @@
 type failingDisk struct {
 	journaler.Disk
 	fail atomic.Bool
+	full atomic.Bool
 }
 
 type failingFile struct {
@@ -32,6 +34,18 @@
 	return failingFile{file, d}, err
 }
 
+func (d *failingDisk) Open(name string) (journaler.File, error) {
+	file, err := d.Disk.Open(name)
+	return failingFile{file, d}, err
+}
+
+func (f failingFile) WriteAt(p []byte, offset int64) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.WriteAt(p, offset)
+}
+
 func (f failingFile) Sync() error {
 	if f.disk.fail.Load() {
 		return errSync
--- a/internal/control/coordinator/group_test.go
+++ b/internal/control/coordinator/group_test.go
@@ -332,3 +332,35 @@
 	_, err = r.Propose(context.Background(), command(3))
 	require.True(t, errors.Is(err, jaygw.ErrStopped) || errors.Is(err, jaygw.ErrOutcomeUnknown))
 }
+
+// TestFullDiskOfTheLeader guards against a replica that ends, or confirms what it has not
+// stored, while its disk is full: another one leads meanwhile, and it takes part again
+// once there is room.
+func TestFullDiskOfTheLeader(t *testing.T) {
+	disks := map[uint64]*failingDisk{}
+	g := newGroup(t, 3, func(r *coordinator.Replica) {
+		disk := newFailingDisk(t, t.TempDir())
+		coordinator.WithDisk(disk)(r)
+		disks[uint64(len(disks)+1)] = disk // the replicas start in the order of their ids
+	})
+	g.propose(g.leader(), 1)
+	full := g.leader()
+	disks[full.ID].full.Store(true)
+	begun := time.Now()
+	_, err := full.Propose(context.Background(), command(2))
+	require.ErrorIs(t, err, jaygw.ErrOutcomeUnknown)
+	require.Less(t, time.Since(begun), time.Second, "callers have to learn of it in time to ask another replica")
+	_, err = full.Confirm(context.Background())
+	require.ErrorIs(t, err, jaygw.ErrNotCurrent)
+	var others []*member
+	for _, r := range g.replicas {
+		if r != full {
+			others = append(others, r)
+		}
+	}
+	g.propose(others[0], 3)
+	require.NotEqual(t, full.ID, g.leader().ID)
+	disks[full.ID].full.Store(false)
+	g.propose(full, 4)
+	g.confirmed(full, 3)
+}
--- a/internal/control/coordinator/options.go
+++ b/internal/control/coordinator/options.go
@@ -42,6 +42,7 @@
 	peerPause      = 100 * time.Millisecond
 	proposePause   = 20 * time.Millisecond
 	leaderWait     = 250 * time.Millisecond // for senders that try other replicas
+	roomPause      = 100 * time.Millisecond // between two tries to write to a full disk
 	handOverPause  = 5 * time.Millisecond
 	confirmLimit   = 2 * time.Second
 	confirmResend  = 300 * time.Millisecond
--- a/internal/control/coordinator/replica.go
+++ b/internal/control/coordinator/replica.go
@@ -31,6 +31,8 @@
 
 		inputs chan event
 		done   chan struct{}
+		ending chan struct{} // closed when Run is to end
+		room   *room
 		ids    atomic.Uint64
 		start  time.Time
 
@@ -99,6 +101,8 @@
 		kept:          keptEntries,
 		inputs:        make(chan event, inputQueue),
 		done:          make(chan struct{}),
+		ending:        make(chan struct{}),
+		room:          newRoom(),
 		start:         time.Now(),
 		peers:         map[uint64]*peer{},
 		addresses:     map[uint64]string{},
@@ -126,7 +130,8 @@
 		}
 	}
 	var restored replicator.Restored
-	r.journal, restored, err = journaler.Open(r.disk, r.settings.Folder, r.settings.Group, r.settings.Self.ID)
+	r.journal, restored, err = journaler.Open(r.disk, r.settings.Folder, r.settings.Group, r.settings.Self.ID,
+		journaler.WithFull(r.awaitRoom))
 	if err != nil {
 		return err
 	}
@@ -165,6 +170,7 @@
 	defer r.stop(cancel)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	context.AfterFunc(ctx, func() { close(r.ending) })
 	if err := r.step(ctx, nil); err != nil {
 		return err
 	}
@@ -265,7 +271,11 @@
 			return err
 		}
 	}
-	return r.journal.Append(out.Entries)
+	if err := r.journal.Append(out.Entries); err != nil {
+		return err
+	}
+	r.stored()
+	return nil
 }
 
 // lead tells the hook of a change of the leadership.
@@ -295,9 +305,14 @@
 	read(r.machine)
 }
 
-// Status describes the replica. Its members must not be changed.
+// Status describes the replica. Its members must not be changed. A replica that cannot
+// store anything knows no leader: another one may lead by now.
 func (r *Replica) Status() jaygw.ReplicaStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.status
+	status := r.status
+	if r.room.isLost() {
+		status.Leader = 0
+	}
+	return status
 }
--- a/internal/control/journaler/disk_test.go
+++ b/internal/control/journaler/disk_test.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"maps"
 	"slices"
+	"syscall"
 
 	"pgregory.net/rapid"
 )
@@ -21,6 +22,7 @@
 		pending []func(map[string]*fakeFile)
 		locked  bool
 		left    int // calls before the failure; negative: no failure
+		refused int // writes that the full disk refuses
 	}
 
 	fakeFile struct {
@@ -43,6 +45,15 @@
 	return nil
 }
 
+// room refuses a write while the disk is full.
+func (d *fakeDisk) room() error {
+	if d.refused == 0 {
+		return d.call()
+	}
+	d.refused--
+	return syscall.ENOSPC
+}
+
 func (d *fakeDisk) change(f func(map[string]*fakeFile)) error {
 	if err := d.call(); err != nil {
 		return err
@@ -104,7 +115,7 @@
 	for _, f := range d.pending[:rapid.IntRange(0, len(d.pending)).Draw(t, "names kept")] {
 		f(d.durable)
 	}
-	d.pending, d.locked, d.left = nil, false, -1
+	d.pending, d.locked, d.left, d.refused = nil, false, -1, 0
 	d.names = maps.Clone(d.durable)
 	for _, name := range slices.Sorted(maps.Keys(d.names)) {
 		file := d.names[name]
@@ -132,7 +143,7 @@
 
 // WriteAt writes half of p when it fails.
 func (f *fakeFile) WriteAt(p []byte, offset int64) (int, error) {
-	err := f.disk.call()
+	err := f.disk.room()
 	if err != nil {
 		p = p[:len(p)/2]
 	}
--- a/internal/control/journaler/journaler.go
+++ b/internal/control/journaler/journaler.go
@@ -1,6 +1,7 @@
 // Package journaler keeps one replica's log, vote and snapshots in its data
 // folder. What its methods have stored survives a crash; after an error of a
-// write or a sync nothing more may be stored.
+// write or a sync nothing more may be stored. A write that a full disk refuses may be
+// tried again: nothing was reported as stored.
 package journaler
 
 import (
@@ -26,6 +27,7 @@
 		identity     identity
 		segmentBytes int64
 		release      func() error
+		full         func(error) bool
 
 		segments []*segment // oldest first
 		file     File       // of the last segment
@@ -66,12 +68,19 @@
 	return func(j *Journal) { j.segmentBytes = size }
 }
 
+// WithFull sets a function that is called with each write that a full disk refuses. The
+// write is tried again while it returns true. Without it such a write is an error.
+func WithFull(full func(error) bool) Option {
+	return func(j *Journal) { j.full = full }
+}
+
 // Open reads a data folder, or starts one if the folder is empty, and returns
 // what it holds. The path is only used in messages.
 func Open(disk Disk, path, group string, member uint64, options ...Option) (*Journal, replicator.Restored, error) {
 	j := &Journal{
 		disk: disk, path: path, segmentBytes: defaultSegmentBytes,
 		identity: identity{Format: formatVersion, Group: group, Member: member},
+		full:     func(error) bool { return false },
 	}
 	for _, option := range options {
 		option(j)
@@ -120,7 +129,19 @@
 	if j.failed != nil {
 		return j.failed
 	}
-	return j.fail(j.saveBallot(ballot))
+	return j.fail(j.persist(func() error { return j.saveBallot(ballot) }))
+}
+
+// persist tries a write again while the disk is full. The write must begin anew each
+// time. A failed sync is never tried again.
+func (j *Journal) persist(write func() error) error {
+	for {
+		err := write()
+		var failed *SyncError
+		if !errors.Is(err, syscall.ENOSPC) || errors.As(err, &failed) || !j.full(err) {
+			return err
+		}
+	}
 }
 
 func (j *Journal) saveBallot(ballot replicator.Ballot) error {
@@ -176,7 +197,7 @@
 		return j.failed
 	}
 	if j.end >= j.segmentBytes {
-		if err := j.addSegment(); err != nil {
+		if err := j.persist(j.addSegment); err != nil {
 			return j.fail(err)
 		}
 	}
@@ -185,7 +206,11 @@
 		return err
 	}
 	name := segmentName(j.segments[len(j.segments)-1].sequence)
-	if _, err := j.file.WriteAt(frame, j.end); err != nil {
+	err = j.persist(func() error {
+		_, err := j.file.WriteAt(frame, j.end)
+		return err
+	})
+	if err != nil {
 		return j.fail(j.named(err, name))
 	}
 	if err := j.file.Sync(); err != nil {
@@ -249,7 +274,7 @@
 	if j.failed != nil {
 		return j.failed
 	}
-	if err := j.SaveSnapshot(snapshot); err != nil {
+	if err := j.persist(func() error { return j.SaveSnapshot(snapshot) }); err != nil {
 		return j.fail(err)
 	}
 	if err := j.write(record{Start: &snapshot.Meta}); err != nil {
--- a/internal/control/journaler/journaler_test.go
+++ b/internal/control/journaler/journaler_test.go
@@ -53,22 +53,29 @@
 	return s
 }
 
-func reopen(t require.TestingT, disk Disk) (*Journal, stored) {
-	j, restored, err := Open(disk, "folder", "main", 1, WithSegmentBytes(300))
+func reopen(t require.TestingT, disk Disk, options ...Option) (*Journal, stored) {
+	j, restored, err := Open(disk, "folder", "main", 1, append(options, WithSegmentBytes(300))...)
 	require.NoError(t, err)
 	return j, read(t, j, restored)
 }
 
 // What a method has stored must survive a crash at any later call of the disk,
-// and what was being stored is there completely or not at all.
+// and what was being stored is there completely or not at all. A write that a full disk
+// has refused for a while is stored like any other.
 func TestStoredStateSurvivesCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		disk := newFakeDisk()
-		j, now := reopen(t, disk)
+		patience := -1 // tries on a full disk before the process ends; negative: no limit
+		wait := WithFull(func(error) bool { patience--; return patience != -1 })
+		j, now := reopen(t, disk, wait)
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			if rapid.IntRange(0, 3).Draw(t, "fail") == 0 {
 				disk.left = rapid.IntRange(0, 8).Draw(t, "calls")
 			}
+			if rapid.IntRange(0, 3).Draw(t, "full") == 0 {
+				disk.refused = rapid.IntRange(1, 4).Draw(t, "refused")
+				patience = rapid.IntRange(-1, 5).Draw(t, "patience")
+			}
 			next, err := store(t, j, now)
 			if err == nil {
 				now = next
@@ -78,12 +85,12 @@
 			}
 			if err != nil {
 				// A failed journal must stay failed: a later sync that succeeds proves nothing.
-				disk.left = -1
+				disk.left, disk.refused = -1, 0
 				require.Error(t, j.Append([]replicator.Entry{{Index: now.last() + 1, Term: 99}}))
 			}
 			disk.crash(t)
 			var found stored
-			j, found = reopen(t, disk)
+			j, found = reopen(t, disk, wait)
 			if err != nil && !equal(now, found) {
 				now = next
 			}
