--- a/internal/test/whole/estate_test.go
+++ b/internal/test/whole/estate_test.go
@@ -35,6 +35,8 @@
 		entries []*daemon
 		agents  []*daemon
 		workers []*worker
+		host    string // loopback address of its own
+		port    int    // the last one in use
 
 		timeline gatherer.Timeline // at the end
 	}
@@ -63,16 +65,26 @@
 	estateEntries = 3
 	estateAgents  = 11
 	perRack       = 3
+	firstPort     = 20_000
 )
 
 var domainNames = []string{"north", "south", "east"}
 
+// newHost returns an estate without daemons on a loopback address of its own.
+func newHost(t *testing.T) *estate {
+	t.Helper()
+	return &estate{
+		t: t, binary: build(t), folder: t.TempDir(),
+		host: fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(200), rand.IntN(250)), port: firstPort,
+	}
+}
+
 func newEstate(t *testing.T) *estate {
 	t.Helper()
-	e := &estate{t: t, binary: build(t), folder: t.TempDir()}
+	e := newHost(t)
 	for i := range estateEntries {
 		e.members = append(e.members, jaygw.Member{
-			ID: uint64(i + 1), Name: fmt.Sprintf("entry-%d", i+1), Address: freeAddress(t), Domain: domainNames[i], Voter: true,
+			ID: uint64(i + 1), Name: fmt.Sprintf("entry-%d", i+1), Address: e.freeAddress(), Domain: domainNames[i], Voter: true,
 		})
 	}
 	for i := range estateEntries {
@@ -100,7 +112,7 @@
 	require.NoError(e.t, os.MkdirAll(folder, 0o750))
 	return &daemon{role: jaygw.RoleEntry, settings: jaygw.Settings{
 		Name: member.Name, Group: jaygw.DefaultGroup, Region: "province", Domain: member.Domain, Rack: member.Domain + "-r0",
-		Listen: jaygw.Listen{Callers: freeAddress(e.t), Operators: freeAddress(e.t), Processes: member.Address},
+		Listen: jaygw.Listen{Callers: e.freeAddress(), Operators: e.freeAddress(), Processes: member.Address},
 		Peers:  e.addressesExcept(number),
 		Control: &jaygw.ControlSettings{
 			ID: member.ID, DataFolder: folder, Members: e.members,
@@ -131,7 +143,7 @@
 	return &daemon{role: jaygw.RoleAgent, settings: jaygw.Settings{
 		Name: fmt.Sprintf("vm-%02d", number+1), Group: jaygw.DefaultGroup, Region: "province", Domain: domain,
 		Rack:   fmt.Sprintf("%s-r%d", domain, rack/len(domainNames)+1),
-		Listen: jaygw.Listen{Processes: freeAddress(e.t)},
+		Listen: jaygw.Listen{Processes: e.freeAddress()},
 		Peers:  e.addressesExcept(-1),
 		Worker: &jaygw.WorkerSettings{Address: w.server.Listener.Addr().String(), Size: size, Slots: 8, Connections: 64},
 		Log:    jaygw.LogSettings{Level: "warning"},
@@ -229,18 +241,31 @@
 	return 0
 }
 
-// freeAddress returns an address that is free now. Its port is below the range
-// from which the system takes the ports of outgoing connections: one of those could
-// take it before the daemon listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
+// freeAddress returns an address that nobody else has: the estate has a loopback address
+// of its own, and hands out each port once. Its ports are below the range from which the
+// system takes the ports of outgoing connections.
+func (e *estate) freeAddress() string {
+	e.t.Helper()
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(10_000))
-		if listener, err := net.Listen("tcp", address); err == nil {
+		e.port++
+		address := fmt.Sprintf("%s:%d", e.host, e.port)
+		if listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address); err == nil {
 			listener.Close()
 			return address
 		}
 	}
-	t.Fatal("no free port")
+	e.t.Fatal("no free port")
 	return ""
 }
+
+// TestAddressesAreHandedOutOnce guards against two daemons of an estate with the same
+// port: the one that binds it later ends by itself.
+func TestAddressesAreHandedOutOnce(t *testing.T) {
+	e := &estate{t: t, host: "127.0.0.1", port: firstPort}
+	seen := map[string]bool{}
+	for range 500 {
+		address := e.freeAddress()
+		require.False(t, seen[address], address)
+		seen[address] = true
+	}
+}
--- a/internal/test/whole/faults_test.go
+++ b/internal/test/whole/faults_test.go
@@ -198,7 +198,7 @@
 	require.NoError(e.t, os.MkdirAll(d.settings.Control.DataFolder, 0o750))
 	lost := e.members[number].ID
 	member := &e.members[number]
-	member.ID, member.Name, member.Address = newMember, "entry-new", freeAddress(e.t)
+	member.ID, member.Name, member.Address = newMember, "entry-new", e.freeAddress()
 	d.settings.Name, d.settings.Listen.Processes = member.Name, member.Address
 	d.settings.Control.ID = newMember
 	d.settings.Control.Members = nil
--- a/internal/test/whole/members_test.go
+++ b/internal/test/whole/members_test.go
@@ -26,10 +26,10 @@
 // A replica whose disk is lost must be replaced with the member commands alone,
 // and a process that knew only the first member must find the new one.
 func TestMemberCommandsReplaceALostDisk(t *testing.T) {
-	e := &estate{t: t, binary: build(t), folder: t.TempDir()}
+	e := newHost(t)
 	for i, domain := range domainNames {
 		e.members = append(e.members, jaygw.Member{
-			ID: uint64(i + 1), Name: "entry-" + domain, Address: freeAddress(t), Domain: domain, Voter: true,
+			ID: uint64(i + 1), Name: "entry-" + domain, Address: e.freeAddress(), Domain: domain, Voter: true,
 		})
 	}
 	token := filepath.Join(e.folder, "token")
@@ -69,7 +69,7 @@
 	require.Eventually(t, watch, patience, 100*time.Millisecond)
 
 	e.kill(e.entries[2])
-	e.members[2] = jaygw.Member{ID: 4, Name: "entry-new", Address: freeAddress(t), Domain: domainNames[2]}
+	e.members[2] = jaygw.Member{ID: 4, Name: "entry-new", Address: e.freeAddress(), Domain: domainNames[2]}
 	joining := e.newEntry(2)
 	joining.settings.TokenFile, joining.settings.Control.Join = token, true
 	joining.settings.Control.Members = e.members[:2]
