Record the learned effects of images, so that the next leader begins with them

Cause: what spare images do to serving ones is learned by the leader alone. Ruled out: estimates in the attendances (they would travel with each of 1,000 calls a second). Change: the leader commits the changed estimates every 2 s; a new leader takes them.

--- a/attendance.go
+++ b/attendance.go
@@ -89,6 +89,13 @@
 		Effect float64   `cbor:"2,keyasint"`
 	}
 
+	// EffectEstimate is what is known of an effect.
+	EffectEstimate struct {
+		Pair     ImagePair `cbor:"1,keyasint"`
+		Effect   float64   `cbor:"2,keyasint"`
+		Variance float64   `cbor:"3,keyasint"`
+	}
+
 	// TraitsOf names the traits of a run that is at work.
 	TraitsOf struct {
 		Run    Run       `cbor:"1,keyasint"`
--- a/command.go
+++ b/command.go
@@ -36,6 +36,7 @@
 		StartRuns      *StartRuns      `cbor:"35,keyasint,omitempty"`
 		EndRuns        *EndRuns        `cbor:"36,keyasint,omitempty"`
 		StopRuns       *StopRuns       `cbor:"37,keyasint,omitempty"`
+		LearnEffects   *LearnEffects   `cbor:"38,keyasint,omitempty"`
 	}
 
 	// PutCatalog puts a catalog in force if its number is higher than that in force.
@@ -84,6 +85,12 @@
 		Stops []StoppedRun `cbor:"1,keyasint"`
 	}
 
+	// LearnEffects records what the leader has learned of pairs of images, for the next
+	// one.
+	LearnEffects struct {
+		Estimates []EffectEstimate `cbor:"1,keyasint"`
+	}
+
 	// EndRuns records ends of runs on a VM.
 	EndRuns struct {
 		VM    string     `cbor:"1,keyasint"`
--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -197,6 +197,8 @@
 		return m.registrar.EndRuns(*c.EndRuns, m.state.Time)
 	case c.StopRuns != nil:
 		return m.registrar.StopRuns(*c.StopRuns)
+	case c.LearnEffects != nil:
+		return m.registrar.LearnEffects(*c.LearnEffects)
 	default:
 		return jaygw.Result{} // a barrier
 	}
@@ -210,6 +212,7 @@
 		c.Evict != nil, c.Resize != nil, c.Note != nil, c.Claim != nil, c.Settle != nil,
 		c.Catalog != nil, c.SubmitWorkflow != nil, c.CancelWorkflow != nil, c.OpenSession != nil, c.StartRuns != nil, c.EndRuns != nil,
 		c.StopRuns != nil,
+		c.LearnEffects != nil,
 	} {
 		if set {
 			changes++
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -17,6 +17,7 @@
 		state   *State
 		limits  Limits
 		byVM    map[string]map[jaygw.Run]*Placed
+		effects map[jaygw.ImagePair]jaygw.EffectEstimate
 		active  []*Workflow // not ended, in the order of acceptance
 		notify  func(vm string)
 		ended   func(*Workflow, jaygw.Time)
@@ -29,8 +30,9 @@
 		Workflows map[string]*Workflow
 		Placed    []*Placed // only in a snapshot; the Registrar keeps them by VM
 		Sessions  map[string]*Session
-		Finished  []string // ended workflows, the earliest first
-		Order     uint64   // of the last accepted workflow
+		Finished  []string               // ended workflows, the earliest first
+		Order     uint64                 // of the last accepted workflow
+		Effects   []jaygw.EffectEstimate // only in a snapshot, sorted; the Registrar keeps them by pair
 	}
 
 	// Workflow is an accepted workflow.
@@ -96,6 +98,7 @@
 		Workflows int // including ended ones
 		Tasks     int // of one workflow, over all occurrences
 		Sessions  int
+		Effects   int // pairs of images
 	}
 )
 
@@ -104,7 +107,9 @@
 const retention = 10 * time.Minute
 
 // DefaultLimits carries the target size with a margin of two.
-func DefaultLimits() Limits { return Limits{Workflows: 50_000, Tasks: 20_000, Sessions: 5_000} }
+func DefaultLimits() Limits {
+	return Limits{Workflows: 50_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000}
+}
 
 // New returns a registrar without workflows. The function reports whether a failure
 // domain is out.
@@ -113,6 +118,7 @@
 		state:   newState(),
 		limits:  DefaultLimits(),
 		byVM:    map[string]map[jaygw.Run]*Placed{},
+		effects: map[jaygw.ImagePair]jaygw.EffectEstimate{},
 		notify:  func(string) {},
 		ended:   func(*Workflow, jaygw.Time) {},
 		domains: domainOut,
@@ -195,7 +201,7 @@
 	s := &State{
 		Catalog: r.state.Catalog, Sessions: maps.Clone(r.state.Sessions),
 		Finished: slices.Clone(r.state.Finished), Order: r.state.Order,
-		Workflows: make(map[string]*Workflow, len(r.state.Workflows)),
+		Workflows: make(map[string]*Workflow, len(r.state.Workflows)), Effects: r.Effects(),
 	}
 	for id, w := range r.state.Workflows {
 		s.Workflows[id] = w.clone()
@@ -212,6 +218,7 @@
 func (r *Registrar) Restore(state *State) {
 	r.state = newState()
 	r.byVM = map[string]map[jaygw.Run]*Placed{}
+	r.effects = map[jaygw.ImagePair]jaygw.EffectEstimate{}
 	r.active = nil
 	if state == nil {
 		return
@@ -227,6 +234,9 @@
 	for _, p := range state.Placed {
 		r.hold(p)
 	}
+	for _, e := range state.Effects {
+		r.effects[e.Pair] = e
+	}
 	for _, w := range r.state.Workflows {
 		if !w.State.Ended() {
 			r.active = append(r.active, w)
--- a/internal/schedule/estimator/images.go
+++ b/internal/schedule/estimator/images.go
@@ -1,6 +1,9 @@
 package estimator
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -24,6 +27,7 @@
 		effect   float64
 		variance float64 // of the estimate; grows with time
 		at       time.Time
+		kept     jaygw.EffectEstimate // as last returned by Changes
 	}
 
 	// Pressing is the spare work of one image on a VM.
@@ -48,6 +52,11 @@
 	// changes.
 	effectDrift = 0.3
 
+	// keptChange is the change of an effect that is worth keeping, and keptVariance the
+	// factor by which its variance has to fall.
+	keptChange   = 0.5
+	keptVariance = 0.7
+
 	// leastShare is the least share of spare work that an observation needs.
 	leastShare = 0.01
 
@@ -135,3 +144,43 @@
 	p.at = now
 	return p
 }
+
+// Restore takes estimates that another leader has kept in place of all that is known.
+func (e *Images) Restore(estimates []jaygw.EffectEstimate, now time.Time) {
+	e.pairs = make(map[jaygw.ImagePair]*pressure, len(estimates))
+	for _, known := range estimates {
+		e.pairs[known.Pair] = &pressure{effect: known.Effect, variance: known.Variance, at: now, kept: known}
+	}
+}
+
+// Changes returns the estimates that have changed since they were returned last, at most
+// so many, the most changed first.
+func (e *Images) Changes(most int) []jaygw.EffectEstimate {
+	var changed []jaygw.EffectEstimate
+	for pair, p := range e.pairs {
+		if p.isChanged() {
+			changed = append(changed, jaygw.EffectEstimate{Pair: pair, Effect: p.effect, Variance: p.variance})
+		}
+	}
+	slices.SortFunc(changed, func(a, b jaygw.EffectEstimate) int {
+		return cmp.Or(cmp.Compare(e.pairs[b.Pair].drift(), e.pairs[a.Pair].drift()),
+			cmp.Compare(a.Pair.Spare, b.Pair.Spare), cmp.Compare(a.Pair.Serving, b.Pair.Serving))
+	})
+	changed = changed[:min(most, len(changed))]
+	for _, c := range changed {
+		e.pairs[c.Pair].kept = c
+	}
+	return changed
+}
+
+// drift is how far an effect has moved from what was kept of it.
+func (p *pressure) drift() float64 {
+	if p.kept.Variance == 0 {
+		return maxEffect
+	}
+	return math.Abs(p.effect - p.kept.Effect)
+}
+
+func (p *pressure) isChanged() bool {
+	return p.drift() >= keptChange || p.variance < keptVariance*p.kept.Variance
+}
--- a/internal/schedule/foreman/explain.go
+++ b/internal/schedule/foreman/explain.go
@@ -33,6 +33,10 @@
 				"task": s.Run.Task.String(), "run": s.Run.Number, "vm": s.VM, "reason": s.Reason, "index": result.Index,
 			}).Info("scheduler: run moves")
 		}
+	case command.LearnEffects != nil:
+		f.log.WithFields(logrus.Fields{
+			"pairs": len(command.LearnEffects.Estimates), "index": result.Index,
+		}).Info("scheduler: effects of spare images recorded")
 	case command.EndRuns != nil:
 		f.add("scheduler.leases-over", 1)
 		f.log.WithFields(logrus.Fields{
--- a/internal/schedule/foreman/learn.go
+++ b/internal/schedule/foreman/learn.go
@@ -10,6 +10,40 @@
 	"github.com/jaygw/jaygw/internal/schedule/estimator"
 )
 
+const (
+	// keepInterval is the time between two records of estimates. The next leader begins
+	// with what is known then.
+	keepInterval = 2 * time.Second
+
+	// maxKept bounds one record.
+	maxKept = 256
+)
+
+// recall takes the estimates that an earlier leader has recorded. Load pattern: leaders
+// change several times within a minute of faults, and finding out which of hundreds of
+// pairs of images press takes many seconds.
+func (r *roster) recall(state *registrar.Registrar, now time.Time) {
+	if r.recalled == r.term {
+		return
+	}
+	r.recalled, r.kept = r.term, now
+	if effects := state.Effects(); len(effects) > 0 {
+		r.images.Restore(effects, now)
+	}
+}
+
+// keep returns the command that records the changed estimates, or nothing.
+func (r *roster) keep(now time.Time) []jaygw.Command {
+	if now.Sub(r.kept) < keepInterval {
+		return nil
+	}
+	r.kept = now
+	if changed := r.images.Changes(maxKept); len(changed) > 0 {
+		return []jaygw.Command{{LearnEffects: &jaygw.LearnEffects{Estimates: changed}}}
+	}
+	return nil
+}
+
 // learn compares the latency of a VM's serving tasks with that of the other tasks of
 // their steps, and tells the estimator which images were beside them.
 func (r *roster) learn(name string, state *registrar.Registrar, now time.Time) {
--- a/internal/schedule/foreman/learn_test.go
+++ b/internal/schedule/foreman/learn_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/schedule/estimator"
 	"github.com/stretchr/testify/require"
 )
 
@@ -53,3 +54,24 @@
 	require.InDelta(t, 16, e.roster.images.Effect("heavy", "search"), 3)
 	require.InDelta(t, 0, e.roster.images.Effect("light", "search"), 1)
 }
+
+// TestTheNextLeaderKnowsTheEffects guards against a leader that begins without what the
+// one before it has found out: after each change of the leader, spare work pressed the
+// serving tasks again until it had been learned anew.
+func TestTheNextLeaderKnowsTheEffects(t *testing.T) {
+	e := newEstate(t, "a", "b")
+	for range 30 {
+		e.now = e.now.Add(time.Second)
+		e.roster.images.Observe("search", 1, 4, []estimator.Pressing{{Image: "heavy", Share: 0.2}}, e.now)
+	}
+	learned := e.roster.images.Effect("heavy", "search")
+	require.Greater(t, learned, 10.0)
+	e.now = e.now.Add(keepInterval)
+	e.decide()
+	require.Empty(t, e.roster.keep(e.now.Add(keepInterval)), "unchanged estimates are not recorded again")
+
+	e.roster = newRoster(testLease)
+	e.roster.lead(2, true, e.now)
+	e.attend("a")
+	require.InDelta(t, learned, e.roster.images.Effect("heavy", "search"), 0.1)
+}
--- a/internal/schedule/foreman/roster.go
+++ b/internal/schedule/foreman/roster.go
@@ -22,6 +22,9 @@
 		vms   map[string]*attendant
 		steps siblings
 		moved time.Time // last look for runs to move
+		kept  time.Time // last time that estimates were recorded
+
+		recalled uint64 // term in which the recorded estimates were taken
 
 		images *estimator.Images
 		speeds *estimator.Speeds
@@ -107,6 +110,7 @@
 	case session == nil || session.Process != a.Process || session.Life != a.Worker.Life:
 		return nil, jaygw.ErrNotCurrent
 	}
+	r.recall(state, now)
 	vm := r.vms[a.VM]
 	if vm != nil && vm.expiring {
 		return nil, errExpiring
@@ -223,6 +227,7 @@
 	if state.Catalog() == nil {
 		return commands
 	}
+	commands = append(commands, r.keep(now)...)
 	if now.Sub(r.moved) >= moveInterval {
 		r.moved = now
 		if moves := r.moves(state, now, wall); len(moves) > 0 {
--- a/internal/schedule/foreman/roster_test.go
+++ b/internal/schedule/foreman/roster_test.go
@@ -76,6 +76,8 @@
 		e.state.StartRuns(*command.StartRuns, now)
 	case command.StopRuns != nil:
 		e.state.StopRuns(*command.StopRuns)
+	case command.LearnEffects != nil:
+		e.state.LearnEffects(*command.LearnEffects)
 	}
 	e.roster.settled(*command, nil)
 }
