Give no runs to a VM whose attendances get no responses

Cause: the first attendance after a gap counts as a sign of the VM, though its lease is over until the response. Ruled out: a silent worker; a second session. Change: a VM without a response for 3.5 s takes no part in decisions until the next one. The agent logs a lost and a reached worker apart.

--- a/internal/agent/attender/attender.go
+++ b/internal/agent/attender/attender.go
@@ -327,7 +327,11 @@
 		err := a.holdOnce(ctx, wanted)
 		if lost := err != nil; lost != a.workerLost {
 			a.workerLost = lost
-			a.log.WithField("error", text(err)).Warn("agent: worker lost or regained")
+			if lost {
+				a.log.WithError(err).Warn("agent: worker lost")
+			} else {
+				a.log.Info("agent: worker reached")
+			}
 		}
 		a.mu.Lock()
 		unrecorded := a.runner.Unrecorded()
--- a/internal/schedule/foreman/roster.go
+++ b/internal/schedule/foreman/roster.go
@@ -38,6 +38,7 @@
 		session   uint64
 		sequence  uint64 // of the latest attendance
 		heard     time.Time
+		answered  time.Time // last response; its agent holds a lease
 		learned   time.Time // last look at its figures
 		room      float64   // share of the VM that spare runs get beyond the estimate
 		leaseEnd  time.Time
@@ -54,6 +55,10 @@
 	// runs. It covers a hold and a lost call.
 	silenceLimit = 2500 * time.Millisecond
 
+	// answerLimit is the time without a response after which a VM gets no new runs: it
+	// hears of none. It covers the hold of an attendance as well.
+	answerLimit = silenceLimit + MaxHold
+
 	// permitValidity is how long an agent may carry out a start after it has sent the
 	// attendance. It keeps starts out of a domain that was taken out meanwhile.
 	permitValidity = 2 * time.Second
@@ -204,7 +209,7 @@
 	result.Effects = r.effects(a.VM, state)
 	slices.SortFunc(result.Starts, func(x, y jaygw.StartOrder) int { return registrar.CompareRuns(x.Run, y.Run) })
 	slices.SortFunc(result.Stops, registrar.CompareRuns)
-	vm.leaseEnd = later(vm.leaseEnd, r.bound(now))
+	vm.answered, vm.leaseEnd = now, later(vm.leaseEnd, r.bound(now))
 	return result, nil
 }
 
@@ -298,6 +303,7 @@
 		session := state.Session(name)
 		if vm.worker == nil || vm.expiring || session == nil || session.Number != vm.session ||
 			vm.worker.Draining || out[vm.worker.Domain] || vm.unhealthy != "" || now.Sub(vm.heard) > silenceLimit ||
+			now.Sub(vm.answered) > answerLimit ||
 			r.speeds.Speed(name, now) < slowSpeed {
 			continue
 		}
--- a/internal/schedule/foreman/roster_test.go
+++ b/internal/schedule/foreman/roster_test.go
@@ -232,3 +232,21 @@
 	}
 	require.Equal(t, map[string]bool{"lasting": true, "resumable": true, "short": false}, stopping)
 }
+
+// TestAVMThatGetsNoAnswersGetsNoRuns guards against runs that are placed, freed and placed
+// again on a VM whose attendances arrive and whose responses are lost: nobody starts them.
+func TestAVMThatGetsNoAnswersGetsNoRuns(t *testing.T) {
+	e := newEstate(t, "a")
+	for range 12 {
+		e.now = e.now.Add(testLease / 8)
+		e.serial++
+		_, err := e.roster.arrived(jaygw.Attendance{VM: "a", Process: 1, Sequence: e.serial, Worker: e.roster.vms["a"].worker}, e.state, e.now)
+		require.NoError(t, err)
+	}
+	e.submit("w", step(1))
+	e.decide()
+	require.Empty(t, e.placed("a"))
+	e.attend("a")
+	e.decide()
+	require.Len(t, e.placed("a"), 1)
+}
