Give a spare run its pace with its start

Cause: a spare run begins at full pace and got its pace with the next list, up to half a second later since agents no longer ask in a loop. Change: the pace is decided when the worker has confirmed the start. The script paced-start fails on the code before.

--- a/internal/agent/attender/attender.go
+++ b/internal/agent/attender/attender.go
@@ -238,7 +238,7 @@
 	}
 }
 
-func (a *Attender) start(ctx context.Context, order jaygw.StartOrder, by time.Time) {
+func (a *Attender) start(parent context.Context, order jaygw.StartOrder, by time.Time) {
 	a.mu.Lock()
 	deadline, ok := a.runner.Admit(order.Run, by, a.now())
 	life, fence := a.life()
@@ -247,7 +247,7 @@
 		signal(a.report)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	ctx, cancel := context.WithTimeout(parent, orderLimit)
 	defer cancel()
 	reply, err := a.worker.Start(ctx, life, jaygw.WorkerStart{
 		Run: order.Run, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Deadline: deadline, Fence: fence,
@@ -259,8 +259,9 @@
 		}).Warn("agent: start not confirmed")
 	}
 	a.mu.Lock()
-	a.runner.Started(order.Run, reply, err, a.now())
+	actions := a.runner.Started(order.Run, reply, err, a.now())
 	a.mu.Unlock()
+	a.perform(parent, actions)
 	signal(a.listen)
 	if reply.Denied != "" {
 		signal(a.report)
