--- a/internal/agent/attender/perform.go
+++ b/internal/agent/attender/perform.go
@@ -25,7 +25,7 @@
 	}
 }
 
-func (a *Attender) start(parent context.Context, order jaygw.StartOrder, by time.Time) {
+func (a *Attender) start(ctx context.Context, order jaygw.StartOrder, by time.Time) {
 	a.mu.Lock()
 	deadline, ok := a.runner.Admit(order.Run, by, a.now())
 	life, fence := a.life()
@@ -34,7 +34,7 @@
 		signal(a.report)
 		return
 	}
-	ctx, cancel := context.WithTimeout(parent, orderLimit)
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	reply, err := a.worker.Start(ctx, life, jaygw.WorkerStart{
 		Run: order.Run, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Deadline: deadline, Fence: fence,
@@ -46,9 +46,8 @@
 		}).Warn("agent: start not confirmed")
 	}
 	a.mu.Lock()
-	actions := a.runner.Started(order.Run, reply, err, a.now())
+	a.runner.Started(order.Run, reply, err, a.now())
 	a.mu.Unlock()
-	a.perform(parent, actions)
 	signal(a.listen)
 	if reply.Denied != "" {
 		signal(a.report)
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -254,13 +254,12 @@
 	return r.onClock(end), true
 }
 
-// Started takes the result of a start and returns what to do: a spare run begins at full
-// pace, and the next list may be half a second away.
-func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerReply, err error, now time.Time) []Action {
+// Started takes the result of a start.
+func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerReply, err error, now time.Time) {
 	r.ordered(reply, err, now)
 	known := r.runs[id]
 	if known == nil || known.phase != starting {
-		return nil
+		return
 	}
 	switch {
 	case err != nil || reply.Denied == jaygw.DeniedOld:
@@ -271,11 +270,7 @@
 		}, now)
 	default:
 		known.phase, known.since = running, now
-		if known.traits.Spare {
-			return r.pace(now)
-		}
 	}
-	return nil
 }
 
 func (r *Runner) stop(id jaygw.Run, now time.Time) *Action {
