Start starved workflows beside serving runs only in pools that are not busy

Change: the rule holds only while other than spare tasks have reserved less than 60% of the pool's CPU. A pool with free capacity still starts a task of an image that slows every serving image.

--- a/internal/schedule/allocator/allocator.go
+++ b/internal/schedule/allocator/allocator.go
@@ -86,9 +86,13 @@
 	servingUsePercent = 50
 
 	// starvationThreshold is the time without a run after which a workflow's next task
-	// starts even where it may slow serving tasks.
+	// starts even where it may slow serving tasks, unless its pool is busy: then it waits until
+	// the serving tasks leave enough capacity.
 	starvationThreshold = 1500 * time.Millisecond
 
+	// busyPoolPercent is the share of a pool's CPU, in percent, from which the pool is busy.
+	busyPoolPercent = 60
+
 	// assumedInverseLatency is the inverse latency that is assumed for a serving task under low
 	// load: a tail latency of 40% of its target.
 	assumedInverseLatency = 2.5
@@ -295,16 +299,26 @@
 	}
 }
 
-// isStarved reports whether a workflow has had no run for longer than starvationThreshold.
-// Spare tasks of an image that slows every serving image would find no VM while all VMs have
-// serving tasks; one of them then starts anyway, and the pace control on its VM protects the
-// serving tasks.
+// isStarved reports whether a workflow has had no run for longer than starvationThreshold although
+// its pool is not busy. Spare tasks of an image that slows every serving image would find no VM
+// while all VMs have serving tasks; one of them then starts anyway, and the pace control on its VM
+// protects the serving tasks.
 func (d *decision) isStarved(p *pendingStep) bool {
 	w := p.workflow
-	return w.Runs == 0 && d.now.Sub(max(w.Idle, w.Spec.ScheduledTime(p.occurrence))) > starvationThreshold &&
+	return w.Runs == 0 && !d.isBusy(p.queue.Service) && d.now.Sub(max(w.Idle, w.Spec.ScheduledTime(p.occurrence))) > starvationThreshold &&
 		!slices.ContainsFunc(d.grants, func(g jaygw.RunGrant) bool { return g.Run.Task.Workflow == w.Spec.ID })
 }
 
+// isBusy reports whether tasks other than spare ones have reserved most of a pool's CPU.
+func (d *decision) isBusy(service string) bool {
+	var size, free jaygw.MilliCores
+	for _, n := range d.nodes[service] {
+		size += n.Worker.Size.CPU
+		free += n.free.CPU
+	}
+	return (size-free)*100 >= size*busyPoolPercent
+}
+
 func (d *decision) grant(p *pendingStep, n *node, id jaygw.StepTask, step *jaygw.Step, number uint64) {
 	n.add(id, step)
 	d.grants = append(d.grants, jaygw.RunGrant{
--- a/internal/schedule/allocator/allocator_test.go
+++ b/internal/schedule/allocator/allocator_test.go
@@ -173,4 +173,8 @@
 	require.Equal(t, map[string]int{"heavy@busy": 1}, countGrants(allocator.Decide(v, 2*second)))
 	w.Runs = 1
 	require.Empty(t, allocator.Decide(v, 2*second), "the other tasks must wait while one runs")
+
+	w.Runs = 0
+	v.VMs[0].Runs = append(v.VMs[0].Runs, placedRun("other", servingStep("search", 1, 8), 90, 100))
+	require.Empty(t, allocator.Decide(v, 2*second), "a busy pool has no capacity for starved tasks")
 }
