Give spare runs their pace when they start

Cause: a started spare run worked at full pace until the worker's next list, up to 0.5 s later, and the pace took another 0.1 s. A latency measurement covers half a second, so each start beside a serving run with a small margin put it over its target once.

Change: the agent decides the pace of a new run as soon as its start is confirmed, from the last measurement; the paces of the other runs do not change then.

--- a/internal/agent/pacer/pacer.go
+++ b/internal/agent/pacer/pacer.go
@@ -109,9 +109,22 @@
 	return defaultEffect
 }
 
-// Decide returns the paces to change. A new run gets its pace immediately; the paces of the others
-// change only once interval has passed since the last change, so that the measurements reflect it.
+// Decide returns the paces to change after a measurement. A new run gets its pace immediately; the
+// paces of the others change only once interval has passed since the last change, so that the
+// measurements reflect it.
 func (p *Pacer) Decide(runs []Observation, now time.Time) []Pace {
+	return p.decide(runs, now.Sub(p.lastChange) >= interval, now)
+}
+
+// DecideNew returns the paces of new runs, given the observations of the last measurement. It lets
+// a run get its pace when it starts: until the next measurement, its load at full pace could
+// keep a serving run over its target.
+func (p *Pacer) DecideNew(runs []Observation, now time.Time) []Pace {
+	return p.decide(runs, false, now)
+}
+
+// decide returns the changed paces of all spare runs or, unless mayChange is set, of the new ones.
+func (p *Pacer) decide(runs []Observation, mayChange bool, now time.Time) []Pace {
 	present := map[jaygw.Run]bool{}
 	var spare, serving []Observation
 	overTarget := false
@@ -131,7 +144,6 @@
 	} else if p.overSince.IsZero() {
 		p.overSince = now
 	}
-	mayChange := now.Sub(p.lastChange) >= interval
 	if !mayChange {
 		spare = slices.DeleteFunc(slices.Clone(spare), func(run Observation) bool { return p.decided[run.Run] })
 	}
--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -34,9 +34,9 @@
 		notify(a.reportReady)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	reply, err := a.worker.Start(ctx, incarnation, jaygw.WorkerStart{
+	reply, err := a.worker.Start(callCtx, incarnation, jaygw.WorkerStart{
 		Run: order.Run, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Deadline: deadline, Fence: fence,
 	})
 	a.count("starts." + outcome(reply, err))
@@ -46,8 +46,9 @@
 		}).Warn("agent: start not confirmed")
 	}
 	a.mu.Lock()
-	a.runner.Started(order.Run, reply, err, a.now())
+	actions := a.runner.Started(order.Run, reply, err, a.now())
 	a.mu.Unlock()
+	a.perform(ctx, actions)
 	notify(a.listDue)
 	if reply.Denied != "" {
 		notify(a.reportReady)
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -256,12 +256,13 @@
 	return r.workerTime(end), true
 }
 
-// Started handles the result of a start.
-func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) {
+// Started handles the result of a start and returns the actions to perform: a spare run gets its
+// pace.
+func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) []Action {
 	r.recordResponse(reply, err, now)
 	state := r.runs[id]
 	if state == nil || state.phase != starting {
-		return
+		return nil
 	}
 	switch {
 	case err != nil || reply.Denied == jaygw.DeniedStale:
@@ -272,7 +273,9 @@
 		}, now)
 	default:
 		state.phase, state.since = running, now
+		return paceActions(r.pacer.DecideNew(r.observations(), now))
 	}
+	return nil
 }
 
 func (r *Runner) stop(id jaygw.Run, now time.Time) *Action {
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -114,7 +114,7 @@
 		present[listedRun.Run] = true
 		report = r.addRunning(listedRun, now) || report
 	}
-	actions = r.decidePaces(now)
+	actions = paceActions(r.pacer.Decide(r.observations(), now))
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
 		if present[id] || !state.since.Before(requestedAt) {
@@ -135,8 +135,8 @@
 	return actions, report
 }
 
-// decidePaces returns the changes of pace that follow from the last list.
-func (r *Runner) decidePaces(now time.Time) []Action {
+// observations returns the state of the running runs in the last list.
+func (r *Runner) observations() []pacer.Observation {
 	var observations []pacer.Observation
 	for id, state := range r.runs {
 		if state.phase == running && state.traits != nil {
@@ -147,8 +147,12 @@
 			})
 		}
 	}
+	return observations
+}
+
+func paceActions(paces []pacer.Pace) []Action {
 	var actions []Action
-	for _, pace := range r.pacer.Decide(observations, now) {
+	for _, pace := range paces {
 		actions = append(actions, Action{Pace: &pace})
 	}
 	return actions
