Under overload, finish started workflows and start the smallest first

Late workflows went behind all that could still be in time, so each new one displaced the started ones, and the order by the time of the objective chose those that were most likely to miss it.

Change: useless work last, then the queue's priority, started workflows first, then those that can be in time, the least remaining work first.

--- a/internal/schedule/allocator/urgency.go
+++ b/internal/schedule/allocator/urgency.go
@@ -8,20 +8,30 @@
 	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
-// urgency orders waiting steps. Work that can still meet its objective, judged by the run
-// times of its remaining steps, goes first: a burst of large jobs during a steady stream of
-// small ones would otherwise make all later jobs late as well.
+// urgency orders waiting steps. Work that is too late to be of use goes last, then the priority of
+// the queue decides.
 //
-// The next criteria are the priority of the queue, whether the workflow has started (under
-// overload, starting many workflows at once would make all of them late), and the time of
-// the objective.
+// Under overload, within a queue, started workflows go first, as many started workflows would all
+// end late. Then come those that can still meet their objective, judged by the run times of their
+// remaining steps, and the smallest first: the capacity then serves the most callers in time. By
+// the time of the objective, it would go to the workflows that are most likely to miss it.
 type urgency struct {
-	lateness  int // 0: can meet the objective; 1: late; 2: too late to be of use
-	priority  int
-	unstarted int // 0: some of its tasks have started; 1: none has
-	objective jaygw.Time
+	lateness      lateness
+	priority      int
+	unstarted     int // 0: some of its tasks have started; 1: none has
+	remainingWork time.Duration
+	objective     jaygw.Time
 }
 
+// lateness tells whether a workflow can meet its objective.
+type lateness int
+
+const (
+	inTime lateness = iota
+	late
+	useless // a result would be of no use to the caller
+)
+
 // maxUsefulMultiple is the multiple of the objective after which a result is of no use to
 // the caller.
 const maxUsefulMultiple = 3
@@ -36,15 +46,26 @@
 	if w.State == jaygw.WorkflowQueued {
 		u.unstarted = 1
 	}
+	u.remainingWork = remainingWork(w, occurrence)
 	switch expected := now.Sub(start) + remainingCriticalPath(w, occurrence); {
 	case expected > maxUsefulMultiple*objective:
-		u.lateness = 2
+		u.lateness = useless
 	case expected > objective:
-		u.lateness = 1
+		u.lateness = late
 	}
 	return u
 }
 
+// remainingWork returns the declared processor time of the tasks that are not done.
+func remainingWork(w *registrar.Workflow, occurrence int) time.Duration {
+	work := 0.0
+	for i := range w.Spec.Steps {
+		step, state := &w.Spec.Steps[i], w.Occurrences[occurrence].Steps[i]
+		work += float64(len(state.Tasks)-state.Done) * cores(step) * float64(step.RunTime)
+	}
+	return time.Duration(work)
+}
+
 // remainingCriticalPath returns the run time of the longest chain of steps that are not
 // done. Running tasks count half, as they are half done on average.
 func remainingCriticalPath(w *registrar.Workflow, occurrence int) time.Duration {
@@ -88,8 +109,20 @@
 
 // compare returns a negative number if u is more urgent than o.
 func (u urgency) compare(o urgency) int {
-	return cmp.Or(cmp.Compare(u.lateness, o.lateness), cmp.Compare(u.priority, o.priority),
-		cmp.Compare(u.unstarted, o.unstarted), cmp.Compare(u.objective, o.objective))
+	return cmp.Or(compareBool(u.lateness == useless, o.lateness == useless), cmp.Compare(u.priority, o.priority),
+		cmp.Compare(u.unstarted, o.unstarted), cmp.Compare(u.lateness, o.lateness),
+		cmp.Compare(u.remainingWork, o.remainingWork), cmp.Compare(u.objective, o.objective))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // criticalPath returns the declared run time of a workflow's longest chain of steps.
