Raise paces only while a reserve of the latency margin remains

Cause: the goal of the pace control was the target itself, and the load of a serving run moves the ratio of target to tail latency by up to 0.6 a second, while a change of pace shows after more than a second. Paces rose with each fall of the load and put the run over its target with the next rise.

Change: paces fall as before, at the whole margin; rising paces and new runs leave 0.3 of the ratio. Ruled out: a goal of 1.3 for both directions, which slows spare work for single peaks of the serving run's own load (TestLoadPatterns, 8430 of 9000 ms). A run with a declared size of 0 keeps its pace: its share of a margin was infinite.

--- a/internal/agent/pacer/pacer.go
+++ b/internal/agent/pacer/pacer.go
@@ -62,6 +62,11 @@
 	// below which spare runs must not lower it.
 	inverseLatencyGoal = 1.0
 
+	// raiseReserve is the part of that ratio above the goal which rising paces and new runs leave.
+	// The load of a serving run may rise further until a change of pace shows in a measurement,
+	// which takes more than a second.
+	raiseReserve = 0.3
+
 	// A serving run may exceed its target for slowdownDelay before the spare runs that slow it
 	// are slowed down even if the latency margins allow their paces. After suspendDelay all
 	// spare runs are suspended. The estimates may be wrong, and it takes most of a second until
@@ -235,7 +240,7 @@
 			pace = min(pace, p.PaceOf(run.Run)*slowdownPercent/fullPace)
 		}
 		if effect >= jaygw.NegligibleEffect {
-			pace = min(pace, max(0, int(margin.remaining/(effect*run.Share)*fullPace)))
+			pace = min(pace, p.allowedPace(run, margin.remaining, effect*run.Share))
 		}
 	}
 	for i := range margins {
@@ -244,6 +249,25 @@
 	return pace
 }
 
+// allowedPace returns the pace that the margin of a serving run allows for a run that would take
+// load of it at full pace. A pace falls only if it exceeds the whole margin; a pace that rises and
+// that of a new run leave raiseReserve, so that paces do not swing with small changes of the load.
+func (p *Pacer) allowedPace(run Observation, margin, load float64) int {
+	raised := paceWithin(margin-raiseReserve, load)
+	if !p.decided[run.Run] {
+		return raised
+	}
+	return max(raised, min(p.PaceOf(run.Run), paceWithin(margin, load)))
+}
+
+// paceWithin returns the pace, in percent, at which a run takes no more than the margin.
+func paceWithin(margin, load float64) int {
+	if load <= 0 {
+		return fullPace // a run without processor time takes nothing
+	}
+	return int(min(1, max(0, margin/load)) * fullPace)
+}
+
 // SetPace records that a pace has taken effect.
 func (p *Pacer) SetPace(pace Pace) {
 	if pace.Percent >= fullPace {
