--- a/internal/schedule/allocator/allocator.go
+++ b/internal/schedule/allocator/allocator.go
@@ -97,8 +97,9 @@
 	// load: a tail latency of 40% of its target.
 	assumedInverseLatency = 2.5
 	// minInverseLatency is the inverse latency down to which spare tasks may slow a serving
-	// task: a tail latency of 80% of its target.
-	minInverseLatency = 1.25
+	// task: a tail latency of two thirds of its target. The rest is for a load that rises while
+	// the spare task runs.
+	minInverseLatency = 1.5
 
 	// minSparePercent is the spare CPU that a VM must have before a spare task starts
 	// there, in percent of the task's size.
--- a/internal/schedule/allocator/compatibility_test.go
+++ b/internal/schedule/allocator/compatibility_test.go
@@ -81,3 +81,16 @@
 		require.Len(t, allocator.Decide(v, 0), want, "the running task uses %d of 2000 millicores", used)
 	}
 }
+
+// TestSpareTasksLeaveRoomForRisingLoad guards against spare tasks that use up the margin of a serving
+// task whose load is low at the moment, and put it over its target when the load rises.
+func TestSpareTasksLeaveRoomForRisingLoad(t *testing.T) {
+	q := queue("q", 0)
+	for tailLatency, want := range map[int]int{40: 1, 50: 0} {
+		vms := []allocator.VM{vm("a", 16)}
+		vms[0].Runs = []jaygw.PlacedRun{placedRun("x", servingStep("search", 1, 4), tailLatency, 100)}
+		v := view(t, vms, []jaygw.Queue{q}, workflow("w", q, 0, spareStep("batch", 1, 2)))
+		v.Effect = func(string, string) float64 { return 6 } // the task takes 0.75 of the inverse latency
+		require.Len(t, allocator.Decide(v, 0), want, "tail latency of %d%% of the target", tailLatency)
+	}
+}
