Determine once per decision which pools are busy; remove unused fields of placed runs

The order of waiting work and the margins no longer use whether a run was reported or by how much it is slowed down: the processor time that it used says both.

--- a/internal/schedule/allocator/allocator.go
+++ b/internal/schedule/allocator/allocator.go
@@ -73,6 +73,7 @@
 		view        View
 		now         jaygw.Time
 		nodes       map[string][]*node // by service of the worker
+		busy        map[string]bool    // pools that are busy, by service
 		unplaceable unplaceable
 		grants      []jaygw.RunGrant
 	}
@@ -108,7 +109,7 @@
 
 // Decide returns the runs to start, the most urgent first.
 func Decide(view View, now jaygw.Time) []jaygw.RunGrant {
-	d := &decision{view: view, now: now, nodes: map[string][]*node{}, unplaceable: unplaceable{}}
+	d := &decision{view: view, now: now, nodes: map[string][]*node{}, busy: map[string]bool{}, unplaceable: unplaceable{}}
 	waiting := d.pendingSteps()
 	if len(waiting) == 0 {
 		return nil
@@ -118,6 +119,9 @@
 		n := newNode(view.VMs[i], view.Effect, demand)
 		d.nodes[n.Worker.Service] = append(d.nodes[n.Worker.Service], n)
 	}
+	for service, nodes := range d.nodes {
+		d.busy[service] = isBusy(nodes)
+	}
 	for _, p := range waiting {
 		if len(d.grants) >= maxGrants {
 			break
@@ -306,14 +310,14 @@
 // protects the serving tasks.
 func (d *decision) isStarved(p *pendingStep) bool {
 	w := p.workflow
-	return w.Runs == 0 && !d.isBusy(p.queue.Service) && d.now.Sub(max(w.Idle, w.Spec.ScheduledTime(p.occurrence))) > starvationThreshold &&
+	return w.Runs == 0 && !d.busy[p.queue.Service] && d.now.Sub(max(w.Idle, w.Spec.ScheduledTime(p.occurrence))) > starvationThreshold &&
 		!slices.ContainsFunc(d.grants, func(g jaygw.RunGrant) bool { return g.Run.Task.Workflow == w.Spec.ID })
 }
 
-// isBusy reports whether tasks other than spare ones have reserved most of a pool's CPU.
-func (d *decision) isBusy(service string) bool {
+// isBusy reports whether tasks other than spare ones have reserved most of the CPU of a pool's VMs.
+func isBusy(nodes []*node) bool {
 	var size, free jaygw.MilliCores
-	for _, n := range d.nodes[service] {
+	for _, n := range nodes {
 		size += n.Worker.Size.CPU
 		free += n.free.CPU
 	}
--- a/internal/schedule/allocator/allocator_test.go
+++ b/internal/schedule/allocator/allocator_test.go
@@ -142,7 +142,7 @@
 	serving.LatencyTarget, serving.Image, serving.Lasting = 100*time.Millisecond, "search", true
 	busy := vm("busy", 32)
 	busy.Runs = []jaygw.PlacedRun{{
-		Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "serving"}, Number: 1}, Step: &serving, Reported: true, TailLatency: 50 * time.Millisecond,
+		Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "serving"}, Number: 1}, Step: &serving, TailLatency: 50 * time.Millisecond,
 	}}
 	spare := func(image string) jaygw.Step {
 		s := step(4, 4)
@@ -162,7 +162,7 @@
 	serving.LatencyTarget, serving.Image, serving.Lasting = 100*time.Millisecond, "search", true
 	busy := vm("busy", 32)
 	busy.Runs = []jaygw.PlacedRun{{
-		Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "serving"}, Number: 1}, Step: &serving, Reported: true, TailLatency: 90 * time.Millisecond,
+		Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "serving"}, Number: 1}, Step: &serving, TailLatency: 90 * time.Millisecond,
 	}}
 	heavy := step(4, 4)
 	heavy.Spare, heavy.Image = true, "heavy"
--- a/internal/schedule/allocator/compatibility_test.go
+++ b/internal/schedule/allocator/compatibility_test.go
@@ -24,7 +24,7 @@
 func placedRun(id string, s jaygw.Step, tailLatency, latencyTarget int) jaygw.PlacedRun {
 	s.LatencyTarget = time.Duration(latencyTarget)
 	return jaygw.PlacedRun{
-		Run: jaygw.Run{Task: jaygw.StepTask{Workflow: id}, Number: 1}, Step: &s, TailLatency: time.Duration(tailLatency), Reported: true,
+		Run: jaygw.Run{Task: jaygw.StepTask{Workflow: id}, Number: 1}, Step: &s, TailLatency: time.Duration(tailLatency),
 	}
 }
 
--- a/internal/schedule/allocator/replay_test.go
+++ b/internal/schedule/allocator/replay_test.go
@@ -110,7 +110,7 @@
 	o.ends[grant.Run] = now.Add(w.Spec.Steps[task.Step].RunTime)
 	for i := range o.vms {
 		if o.vms[i].Name == grant.VM {
-			o.vms[i].Runs = append(o.vms[i].Runs, jaygw.PlacedRun{Run: grant.Run, Step: &w.Spec.Steps[task.Step], Reported: true})
+			o.vms[i].Runs = append(o.vms[i].Runs, jaygw.PlacedRun{Run: grant.Run, Step: &w.Spec.Steps[task.Step]})
 		}
 	}
 }
--- a/internal/schedule/allocator/urgency.go
+++ b/internal/schedule/allocator/urgency.go
@@ -8,23 +8,26 @@
 	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
-// urgency orders waiting steps. Work that is too late to be of use goes last, then the priority of
-// the queue decides.
-//
-// Under overload, within a queue, started workflows go first, as many started workflows would all
-// end late. Then come those that can still meet their objective, judged by the run times of their
-// remaining steps, and the smallest first: the capacity then serves the most callers in time. By
-// the time of the objective, it would go to the workflows that are most likely to miss it.
-type urgency struct {
-	lateness      lateness
-	priority      int
-	unstarted     int // 0: some of its tasks have started; 1: none has
-	remainingWork time.Duration
-	objective     jaygw.Time
-}
+type (
+	// urgency orders waiting steps. Work that is too late to be of use goes last; then the priority
+	// of the queue decides.
+	//
+	// Within a queue, started workflows go first: under overload, all of them would end late if new
+	// ones took their capacity. Next come workflows that can still meet their objective, judged by
+	// the run times of their remaining steps, and those with the least remaining work: the capacity
+	// then serves the most callers in time. Ordered by the time of the objective, it would go to the
+	// workflows that are most likely to miss it.
+	urgency struct {
+		lateness      lateness
+		priority      int
+		unstarted     int // 0: some of its tasks have started; 1: none has
+		remainingWork time.Duration
+		objective     jaygw.Time
+	}
 
-// lateness tells whether a workflow can meet its objective.
-type lateness int
+	// lateness tells whether a workflow can meet its objective.
+	lateness int
+)
 
 const (
 	inTime lateness = iota
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -314,9 +314,8 @@
 		candidate := allocator.VM{Name: name, Session: vm.session, Worker: vm.worker, ExtraSpareShare: vm.headroom}
 		state.ForEachPlacement(name, func(p *registrar.Placement) {
 			if run, ok := state.PlacedRun(p); ok {
-				report, reported := vm.reported[p.Run]
-				run.SlowdownPercent, run.TailLatency, run.UsedCPU = report.SlowdownPercent, report.TailLatency, report.UsedCPU
-				run.Reported = reported
+				report := vm.reported[p.Run]
+				run.TailLatency, run.UsedCPU = report.TailLatency, report.UsedCPU
 				candidate.Runs = append(candidate.Runs, run)
 			}
 		})
--- a/workflow.go
+++ b/workflow.go
@@ -135,14 +135,10 @@
 		// or the leader has decided to stop it.
 		WorkflowEnded bool
 
-		// Reported is set if the agent's last poll lists the run. Otherwise SlowdownPercent,
-		// TailLatency and UsedCPU are zero.
-		Reported bool
-		// SlowdownPercent is by how many percent of its full speed a spare run is slowed down.
-		SlowdownPercent int
 		// TailLatency is the tail latency of a serving run; zero if it was not measured.
 		TailLatency time.Duration
-		// UsedCPU is the processor time that a spare run got while TailLatency was measured.
+		// UsedCPU is the processor time that a spare run got while the tail latencies on its VM were
+		// measured; zero if the agent has not reported the run.
 		UsedCPU MilliCores
 	}
 )
