--- a/internal/schedule/allocator/replay_test.go
+++ b/internal/schedule/allocator/replay_test.go
@@ -22,10 +22,16 @@
 		LastsMs   int            `json:"lasts-ms"`  // time during which workflows arrive
 		EveryMs   int            `json:"every-ms"`  // time between two arrivals
 		Workflows []arrivingFlow `json:"workflows"` // arrive in turn
-		MinInTime int            `json:"min-in-time"`
-		vms       []allocator.VM // with the placed runs
-		ends      map[jaygw.Run]jaygw.Time
-		flows     []*registrar.Workflow
+		// MinInTime is how many of them can be served in time: those of the small kinds, which
+		// together fit the capacity.
+		MinInTime int `json:"min-in-time"`
+	}
+
+	// estate is the simulated state of the VMs and of the workflows that have not ended.
+	estate struct {
+		vms   []allocator.VM // with the placed runs
+		ends  map[jaygw.Run]jaygw.Time
+		flows []*registrar.Workflow
 	}
 
 	arrivingFlow struct {
@@ -55,24 +61,24 @@
 	const tick = 20 * time.Millisecond
 	q := queue("q", 0)
 	q.LatencyTarget = time.Second
+	e := &estate{ends: map[jaygw.Run]jaygw.Time{}}
 	for i := range o.VMs {
-		o.vms = append(o.vms, vm(fmt.Sprint("vm-", i), o.Cores))
+		e.vms = append(e.vms, vm(fmt.Sprint("vm-", i), o.Cores))
 	}
-	o.ends = map[jaygw.Run]jaygw.Time{}
 	inTime, arrivals := 0, 0
 	for now := jaygw.Time(0); int(time.Duration(now).Milliseconds()) < 4*o.LastsMs; now = now.Add(tick) {
 		elapsed := int(time.Duration(now).Milliseconds())
 		if elapsed < o.LastsMs && elapsed >= arrivals*o.EveryMs {
-			o.flows = append(o.flows, o.Workflows[arrivals%len(o.Workflows)].workflow(fmt.Sprint("w", arrivals), q, now))
+			e.flows = append(e.flows, o.Workflows[arrivals%len(o.Workflows)].workflow(fmt.Sprint("w", arrivals), q, now))
 			arrivals++
 		}
-		inTime += o.endRuns(now)
-		v := view(t, o.vms, []jaygw.Queue{q}, o.flows...)
+		inTime += e.endRuns(now)
+		v := view(t, e.vms, []jaygw.Queue{q}, e.flows...)
 		for _, grant := range allocator.Decide(v, now) {
-			o.start(grant, now)
+			e.start(grant, now)
 		}
 	}
-	require.Empty(t, o.flows, "all workflows end at last")
+	require.Empty(t, e.flows, "all workflows end at last")
 	t.Logf("%d of %d workflows in time", inTime, arrivals)
 	return inTime
 }
@@ -90,8 +96,8 @@
 	return workflow(id, q, accepted, steps...)
 }
 
-func (o *overload) flow(id string) *registrar.Workflow {
-	for _, w := range o.flows {
+func (e *estate) flow(id string) *registrar.Workflow {
+	for _, w := range e.flows {
 		if w.Spec.ID == id {
 			return w
 		}
@@ -99,42 +105,42 @@
 	return nil
 }
 
-func (o *overload) start(grant jaygw.RunGrant, now jaygw.Time) {
+func (e *estate) start(grant jaygw.RunGrant, now jaygw.Time) {
 	task := grant.Run.Task
-	w := o.flow(task.Workflow)
+	w := e.flow(task.Workflow)
 	w.State = jaygw.WorkflowRunning
 	w.Runs++
 	state := w.Occurrences[0].Steps[task.Step]
 	state.Held++
 	state.Tasks[task.Index].Runs, state.Tasks[task.Index].Number = 1, grant.Run.Number
-	o.ends[grant.Run] = now.Add(w.Spec.Steps[task.Step].RunTime)
-	for i := range o.vms {
-		if o.vms[i].Name == grant.VM {
-			o.vms[i].Runs = append(o.vms[i].Runs, jaygw.PlacedRun{Run: grant.Run, Step: &w.Spec.Steps[task.Step]})
+	e.ends[grant.Run] = now.Add(w.Spec.Steps[task.Step].RunTime)
+	for i := range e.vms {
+		if e.vms[i].Name == grant.VM {
+			e.vms[i].Runs = append(e.vms[i].Runs, jaygw.PlacedRun{Run: grant.Run, Step: &w.Spec.Steps[task.Step]})
 		}
 	}
 }
 
 // endRuns ends the runs that are due and returns the number of workflows that end in time.
-func (o *overload) endRuns(now jaygw.Time) int {
+func (e *estate) endRuns(now jaygw.Time) int {
 	inTime := 0
-	for i := range o.vms {
+	for i := range e.vms {
 		var left []jaygw.PlacedRun
-		for _, run := range o.vms[i].Runs {
-			if o.ends[run.Run] > now {
+		for _, run := range e.vms[i].Runs {
+			if e.ends[run.Run] > now {
 				left = append(left, run)
 				continue
 			}
-			inTime += o.end(run.Run.Task, now)
+			inTime += e.end(run.Run.Task, now)
 		}
-		o.vms[i].Runs = left
+		e.vms[i].Runs = left
 	}
 	return inTime
 }
 
 // end ends a task and returns 1 if its workflow ends in time with it.
-func (o *overload) end(task jaygw.StepTask, now jaygw.Time) int {
-	w := o.flow(task.Workflow)
+func (e *estate) end(task jaygw.StepTask, now jaygw.Time) int {
+	w := e.flow(task.Workflow)
 	w.Runs--
 	state := w.Occurrences[0].Steps[task.Step]
 	state.Held--
@@ -147,9 +153,9 @@
 	if w.Occurrences[0].Done < len(w.Spec.Steps) {
 		return 0
 	}
-	for i := range o.flows {
-		if o.flows[i] == w {
-			o.flows = append(o.flows[:i], o.flows[i+1:]...)
+	for i := range e.flows {
+		if e.flows[i] == w {
+			e.flows = append(e.flows[:i], e.flows[i+1:]...)
 			break
 		}
 	}
