--- a/internal/schedule/allocator/compatibility.go
+++ b/internal/schedule/allocator/compatibility.go
@@ -36,6 +36,9 @@
 			}
 		}
 	}
+	if total == 0 {
+		return spareDemand{unknownImage: unknownImageShare}
+	}
 	for image := range demand {
 		demand[image] *= (1 - unknownImageShare) / total
 	}
--- a/internal/schedule/allocator/compatibility_test.go
+++ b/internal/schedule/allocator/compatibility_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// TestSpareStepsWithoutCPU guards against shares of the spare work that are not numbers, which
+// put every serving task on the first VM.
+func TestSpareStepsWithoutCPU(t *testing.T) {
+	q := queue("q", 0)
+	vms := []allocator.VM{vm("a", 16), vm("b", 16)}
+	vms[0].Runs = []jaygw.PlacedRun{placedRun("x", servingStep("search", 1, 4), 30, 100)}
+	vms[1].Runs = []jaygw.PlacedRun{placedRun("y", servingStep("ledger", 1, 4), 30, 100)}
+	waiting := workflow("spare", q, 0, spareStep("batch", 2, 0))
+	v := view(t, vms, []jaygw.Queue{q}, workflow("w", q, 0, servingStep("ledger", 1, 2)), waiting)
+	v.Effect = func(string, string) float64 { return 4 }
+	require.Equal(t, 1, countGrants(allocator.Decide(v, 0))["w@b"])
+}
+
 // TestHarmlessImagesStartDespiteHighLatency guards against spare tasks that wait because a
 // serving task is near its latency target, although they do not slow it.
 func TestHarmlessImagesStartDespiteHighLatency(t *testing.T) {
