Bound the batch of a log write; mend two tests that failed for faults of their own

TestBlockedOutputDoesNotBlockWrite: the writer joined queued lines for as long as more arrived, so its memory had no bound: 256 lines now.

TestPollCostIndependentOfFleetSize: a round took less than a step of the thread's accounted processor time.

--- a/internal/observe/logwriter/logwriter.go
+++ b/internal/observe/logwriter/logwriter.go
@@ -39,6 +39,10 @@
 	// queueLines is the number of lines that are buffered while writes to the output are slow.
 	queueLines = 1024
 
+	// maxBatchLines bounds the lines of one write, so that a sender that is faster than the writer
+	// fills the queue and not the memory.
+	maxBatchLines = 256
+
 	// linesPerSecond is the default rate. It bounds the processor time of logging under load.
 	linesPerSecond = 400
 
@@ -92,11 +96,11 @@
 	}
 }
 
-// run writes the queued lines, and joins all that are waiting into one write.
+// run writes the queued lines, and joins up to maxBatchLines that are waiting into one write.
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.queue {
-		for more := true; more; {
+		for lines, more := 1, true; more && lines < maxBatchLines; lines++ {
 			select {
 			case next, open := <-w.queue:
 				line, more = append(line, next...), open
--- a/internal/observe/logwriter/logwriter_test.go
+++ b/internal/observe/logwriter/logwriter_test.go
@@ -11,9 +11,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-type blockedWriter struct{ release chan struct{} }
+// blockedWriter announces each write in entered and blocks it until release is closed.
+type blockedWriter struct{ entered, release chan struct{} }
 
 func (s blockedWriter) Write(p []byte) (int, error) {
+	select {
+	case s.entered <- struct{}{}:
+	case <-s.release:
+	}
 	<-s.release
 	return len(p), nil
 }
@@ -38,8 +43,11 @@
 // TestBlockedOutputDoesNotBlockWrite guards against a process that hangs because the reader of its
 // standard output has stopped reading.
 func TestBlockedOutputDoesNotBlockWrite(t *testing.T) {
-	out := blockedWriter{release: make(chan struct{})}
+	out := blockedWriter{entered: make(chan struct{}), release: make(chan struct{})}
 	o := logwriter.New(out, logwriter.WithRate(1_000_000))
+	_, err := o.Write([]byte("blocks\n"))
+	require.NoError(t, err)
+	<-out.entered
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/internal/schedule/orchestrator/size_test.go
+++ b/internal/schedule/orchestrator/size_test.go
@@ -44,6 +44,10 @@
 	return h
 }
 
+// minMeasuredTime is the least CPU time of a measured round. The kernel accounts the CPU time of a
+// thread in steps of some milliseconds.
+const minMeasuredTime = 100 * time.Millisecond
+
 // pollTime returns the lowest CPU time per poll over several rounds. CPU time excludes the time
 // that other processes take on a busy machine.
 func pollTime(t testing.TB, vms int) time.Duration {
@@ -52,12 +56,16 @@
 	h := newFleetHarness(t, vms)
 	least := time.Hour
 	for range 5 {
-		h.now = h.now.Add(time.Second)
-		start := threadCPUTime(t)
-		for i := range vms {
-			h.poll(fmt.Sprintf("vm-%03d", i))
+		start, polls, used := threadCPUTime(t), 0, time.Duration(0)
+		for used < minMeasuredTime {
+			h.now = h.now.Add(time.Second)
+			for i := range vms {
+				h.poll(fmt.Sprintf("vm-%03d", i))
+			}
+			polls += vms
+			used = threadCPUTime(t) - start
 		}
-		least = min(least, (threadCPUTime(t)-start)/time.Duration(vms))
+		least = min(least, used/time.Duration(polls))
 	}
 	return least
 }
