--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -15,6 +15,7 @@
 	"github.com/jaygw/jaygw/internal/wire/encoder"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 )
 
 type (
@@ -24,21 +25,32 @@
 	Client struct {
 		group  string
 		dialer *dialer.Dialer
+		log    logrus.FieldLogger
 
 		mu      sync.Mutex
 		members []string // addresses of the members, in the order in which they are tried
 		current int      // index of the member to call while the leader is unknown
 		leader  string   // address of the leader; empty if unknown
 	}
+
+	// Option configures a Client.
+	Option func(*Client)
 )
 
 // retryInterval is the pause before a call is sent to the next member.
 const retryInterval = 100 * time.Millisecond
 
+// WithLogger sets the logger. The default is the standard logger of logrus.
+func WithLogger(log logrus.FieldLogger) Option { return func(c *Client) { c.log = log } }
+
 // New returns a client of a group. The members are the addresses that it starts with, nearest
 // first.
-func New(group string, members []string, d *dialer.Dialer) *Client {
-	return &Client{group: group, members: members, dialer: d}
+func New(group string, members []string, d *dialer.Dialer, options ...Option) *Client {
+	c := &Client{group: group, members: members, dialer: d, log: logrus.StandardLogger()}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Propose commits a command. After an error it retries with other members until the context
@@ -187,6 +199,9 @@
 			updated = append(updated, m)
 		}
 	}
+	if !slices.Equal(slices.Sorted(slices.Values(updated)), slices.Sorted(slices.Values(c.members))) {
+		c.log.WithFields(logrus.Fields{"from": current, "known": c.members, "now": updated}).Info("client: members replaced by those of a response")
+	}
 	c.members = updated
 	c.current = max(0, slices.Index(updated, current))
 }
--- a/internal/control/coordinator/replica.go
+++ b/internal/control/coordinator/replica.go
@@ -164,9 +164,28 @@
 		RemoveUnresponsiveAfter: r.settings.RemoveUnresponsiveAfter, ToleratedLosses: r.settings.Tolerated,
 	}, recovered)
 	r.updateStatus()
+	last, lastTerm := r.core.Last()
+	vote := r.core.VoteState()
+	r.log.WithFields(logrus.Fields{
+		"member": r.settings.Self.ID, "term": vote.Term, "verified": vote.Verified, "snapshot": recovered.Snapshot.Index,
+		"last": last, "last-term": lastTerm, "members": memberAddresses(r.core.Members()),
+	}).Info("control: replica opened")
 	return nil
 }
 
+// memberAddresses lists members for the log, voters by their address alone.
+func memberAddresses(members []jaygw.Member) []string {
+	var addresses []string
+	for _, m := range members {
+		if m.Voter {
+			addresses = append(addresses, m.Address)
+		} else {
+			addresses = append(addresses, m.Address+" (learner)")
+		}
+	}
+	return addresses
+}
+
 // Run takes part in the group until the context ends or the disk fails. A failed sync ends it,
 // since it is then unknown which writes are durable.
 func (r *Replica) Run(ctx context.Context) error {
@@ -293,6 +312,11 @@
 		return
 	}
 	r.leadership = current
+	last, lastTerm := r.core.Last()
+	r.log.WithFields(logrus.Fields{
+		"term": current.Term, "leads": current.Leads, "commit": r.core.Commit(), "last": last, "last-term": lastTerm,
+		"members": memberAddresses(r.core.Members()),
+	}).Info("control: leadership changed")
 	r.leadershipHook(current)
 }
 
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -202,16 +202,21 @@
 	return jaygw.Result{}
 }
 
-// EndRuns records the ends of runs on one VM.
+// EndRuns records the ends of runs on one VM. The results say which ends had no effect on their
+// task, and why.
 func (r *Registrar) EndRuns(end jaygw.EndRuns, now jaygw.Time) jaygw.Result {
-	for _, e := range end.Ended {
-		r.endRun(end.VM, e, now)
+	results := make([]jaygw.ItemResult, len(end.Ended))
+	for i, e := range end.Ended {
+		if ignored := r.endRun(end.VM, e, now); ignored != "" {
+			results[i] = jaygw.ItemResult{Code: jaygw.RefusedState, Detail: ignored}
+		}
 	}
-	return jaygw.Result{}
+	return jaygw.Result{Results: results}
 }
 
-// endRun records the end of a run, whether it is still placed or not.
-func (r *Registrar) endRun(vm string, e jaygw.EndedRun, now jaygw.Time) {
+// endRun records the end of a run, whether it is still placed or not. It returns why the end has no
+// effect on the task, or an empty string.
+func (r *Registrar) endRun(vm string, e jaygw.EndedRun, now jaygw.Time) (ignored string) {
 	w := r.state.Workflows[e.Run.Task.Workflow]
 	p := r.runsByVM[vm][e.Run]
 	if p != nil {
@@ -219,7 +224,7 @@
 		r.onChange("") // no VM name: the agent knows of the end, and only capacity was freed
 	}
 	if w == nil {
-		return
+		return "the workflow is not known"
 	}
 	if p != nil {
 		w.Runs--
@@ -227,7 +232,7 @@
 	}
 	s, task := w.step(e.Run.Task), w.task(e.Run.Task)
 	if task == nil || w.State.Ended() {
-		return
+		return "the workflow has ended"
 	}
 	if p != nil {
 		task.Runs--
@@ -236,8 +241,13 @@
 	}
 	// A run may be reported as done after it was removed because its lease had expired. The
 	// report counts if no later run has been granted, since the work was then done just once.
-	if task.Done || task.Number != e.Run.Number || p == nil && e.Outcome != jaygw.RunDone {
-		return
+	switch {
+	case task.Done:
+		return "the task is done"
+	case task.Number != e.Run.Number:
+		return "the task has had a later run"
+	case p == nil && e.Outcome != jaygw.RunDone:
+		return "the run had ended before"
 	}
 	step := &w.Spec.Steps[e.Run.Task.Step]
 	if e.Checkpoint != "" {
@@ -249,6 +259,7 @@
 	case e.Outcome == jaygw.RunFailed && !step.Lasting:
 		r.recordFailure(w, s, task, step, vm, now)
 	}
+	return ""
 }
 
 // storeCheckpoint stores a checkpoint of a task. The checkpoint of one member of a gang is stored
--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -80,6 +80,12 @@
 // Commit returns the index of the last entry that is known to be committed.
 func (c *Core) Commit() uint64 { return c.commit }
 
+// Last returns the index and the term of the last entry of the log.
+func (c *Core) Last() (index, term uint64) { return c.log.last(), c.log.lastTerm() }
+
+// VoteState returns the present voting state.
+func (c *Core) VoteState() VoteState { return c.voteState }
+
 // Members returns the members, including a change that is not committed yet.
 func (c *Core) Members() []jaygw.Member { return c.log.membership().members }
 
--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -92,7 +92,7 @@
 	log.SetOutput(out)
 	return &Node{
 		settings: settings, reload: reload, log: log, logWriter: out, registry: metrics.NewRegistry(), dialer: d,
-		client: client.New(settings.Group, settings.SeedPeers(), d),
+		client: client.New(settings.Group, settings.SeedPeers(), d, client.WithLogger(log)),
 	}
 }
 
--- a/internal/schedule/orchestrator/poll.go
+++ b/internal/schedule/orchestrator/poll.go
@@ -40,7 +40,15 @@
 func (o *Orchestrator) openSession(ctx context.Context, request jaygw.PollRequest) error {
 	var command *jaygw.Command
 	var err error
-	o.withRegistrar(func(state *registrar.Registrar) { command, err = o.sessionCommand(request, state) })
+	var previous registrar.Session
+	runs := 0
+	o.withRegistrar(func(state *registrar.Registrar) {
+		command, err = o.sessionCommand(request, state)
+		if session := state.Session(request.VM); session != nil {
+			previous = *session
+		}
+		state.ForEachPlacement(request.VM, func(*registrar.Placement) { runs++ })
+	})
 	if command == nil || err != nil {
 		return err
 	}
@@ -49,7 +57,9 @@
 		return err
 	}
 	o.log.WithFields(logrus.Fields{
-		"vm": request.VM, "worker": request.Worker.Incarnation.Name, "born": int64(request.Worker.Incarnation.StartTime), "session": result.Index,
+		"vm": request.VM, "process": request.Process, "sequence": request.Sequence, "worker": request.Worker.Incarnation.Name,
+		"born": int64(request.Worker.Incarnation.StartTime), "session": result.Index, "previous-session": previous.Number,
+		"previous-process": previous.Process, "previous-worker": previous.Life.Name, "previous-born": int64(previous.Life.StartTime), "runs": runs,
 	}).Info("scheduler: session opened")
 	return result.Err()
 }
@@ -74,6 +84,7 @@
 		if err != nil {
 			return err
 		}
+		o.reportEnds(request, result)
 		return result.Err()
 	}
 }
--- a/internal/schedule/orchestrator/report.go
+++ b/internal/schedule/orchestrator/report.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// reportEnds logs the failed runs that a poll has reported, and the ends without an effect on their
+// task.
+func (o *Orchestrator) reportEnds(request jaygw.PollRequest, result jaygw.Result) {
+	for i, e := range request.Ended {
+		ignored := ""
+		if i < len(result.Results) {
+			ignored = result.Results[i].Detail
+		}
+		if e.Outcome != jaygw.RunFailed && ignored == "" {
+			continue
+		}
+		o.log.WithFields(logrus.Fields{
+			"task": e.Run.Task.String(), "run": e.Run.Number, "vm": request.VM, "outcome": string(e.Outcome), "reason": e.Reason,
+			"process": request.Process, "sequence": request.Sequence, "index": result.Index, "ignored": ignored,
+		}).Info("scheduler: end recorded")
+	}
+}
+
 // reportStarts counts the grants and logs one line for each step with granted tasks.
 func (o *Orchestrator) reportStarts(start jaygw.StartRuns, result jaygw.Result) {
 	steps := map[jaygw.StepTask]*stepGrants{}
