Reload the settings while the control group is not reached

A process whose seeds were all gone stayed without the group, although the platform had written new seeds to its settings file. The platform may do so without a signal, and the file was read at a signal only.

A process that does not reach the group reads its settings every 2 s. TestSeedsReplacedWithoutSignal failed before ("the entry does not return the job's state", 12 s) and passes now.

--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -86,6 +86,10 @@
 	handOverTimeout = time.Second
 	handOverDelay   = 200 * time.Millisecond
 
+	// reloadInterval is the interval at which a process that does not reach the control group
+	// reloads its settings.
+	reloadInterval = 2 * time.Second
+
 	// nodeIdleTimeout is how long an HTTP connection may be idle before it is closed.
 	nodeIdleTimeout = time.Minute
 )
@@ -136,22 +140,32 @@
 	return err
 }
 
-// watchSettings reloads the settings at each value of hangup. Of the new settings, only
-// the seeds take effect while the process runs.
+// watchSettings reloads the settings at each value of hangup, and while the process does not reach the
+// control group: the platform may replace the file without a signal. Of the new settings, only the
+// seeds take effect while the process runs.
 func (n *Node) watchSettings(ctx context.Context, hangup <-chan struct{}) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
 	for {
+		signaled := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+			signaled = true
+		case now := <-ticker.C:
+			if n.client.Reached(now) {
+				continue
+			}
 		}
 		settings, err := n.reload()
 		if err != nil {
 			n.log.WithError(err).Error("node: settings not reloaded, the previous ones stay in force")
 			continue
 		}
-		n.client.SetSeeds(n.seedPeers(settings))
-		n.log.WithField("seeds", settings.Seeds).Info("node: settings reloaded")
+		if n.client.SetSeeds(n.seedPeers(settings)) || signaled {
+			n.log.WithField("seeds", settings.Seeds).Info("node: settings reloaded")
+		}
 	}
 }
 
