Let a replica that lost its disk join through the leader of its group

Callers saw every request refused and jobs without an answer after a further tolerated loss of disks: a replica whose disk was lost asked only the addresses that it knew to let it join. If none of them led to the leader, it stayed outside for good, and the quorum counted on its lost identity.

The leader sends its heartbeats to the address of the lost identity all the time, and the new one refused them as addressed to another member. It now takes the sender's address from such a message and asks it to join. The message itself is still refused, so no vote and no acknowledgment of the lost identity is given.

--- a/internal/control/coordinator/group_test.go
+++ b/internal/control/coordinator/group_test.go
@@ -16,6 +16,7 @@
 	"github.com/jaygw/jaygw/internal/control/replicator"
 	"github.com/jaygw/jaygw/internal/control/server"
 	"github.com/jaygw/jaygw/internal/schedule/dispatcher"
+	"github.com/jaygw/jaygw/internal/schedule/orchestrator"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 	"github.com/sirupsen/logrus"
@@ -127,7 +128,10 @@
 	mux := drpcmux.New()
 	dispatch := dispatcher.New(dispatcher.WithLogger(discardLogger()))
 	dispatch.SetReplica(replica)
-	require.NoError(g.t, messenger.DRPCRegisterGroup(mux, server.New("main", replica, dispatch, server.WithDialer(d))))
+	workflows := orchestrator.New(orchestrator.WithLogger(discardLogger()))
+	workflows.SetReplica(replica)
+	require.NoError(g.t, messenger.DRPCRegisterGroup(mux, server.New("main", replica, dispatch,
+		server.WithDialer(d), server.WithOrchestrator(workflows))))
 	ctx, cancel := context.WithCancel(context.Background())
 	serveDone := make(chan struct{})
 	go func() { defer close(serveDone); _ = dialer.Serve(ctx, gatedListener{l, r}, mux) }()
--- a/internal/control/coordinator/peer.go
+++ b/internal/control/coordinator/peer.go
@@ -136,7 +136,15 @@
 			return jaygw.ErrWrongGroup
 		}
 		var e envelope
-		if err := encoder.Unmarshal(m.Body, &e); err != nil || e.Message.To != r.settings.Self.ID || m.From != e.Message.From {
+		if err := encoder.Unmarshal(m.Body, &e); err != nil || m.From != e.Message.From {
+			return jaygw.ErrInvalidMessage
+		}
+		if to := e.Message.To; to != r.settings.Self.ID {
+			if isFromLeader(&e.Message) && e.Address != "" {
+				if err := r.enqueue(stream.Context(), event{earlierMember: to, address: e.Address}); err != nil {
+					return err
+				}
+			}
 			return jaygw.ErrInvalidMessage
 		}
 		if err := r.enqueue(stream.Context(), event{input: replicator.Input{Message: &e.Message}, address: e.Address}); err != nil {
--- a/internal/control/coordinator/replica.go
+++ b/internal/control/coordinator/replica.go
@@ -35,6 +35,7 @@
 		diskSpace *diskSpace
 		lastID    atomic.Uint64 // id of the last proposal or read
 		start     time.Time     // origin of the core's clock
+		rejoining atomic.Bool   // a request to join through a leader is running
 
 		// Only the goroutine of Run accesses the fields from journal to logBytes, except that
 		// the peers and the snapshot writer also use journal.
@@ -60,10 +61,13 @@
 
 	// event is an input of the core with the data that the replica needs to handle it.
 	event struct {
-		input       replicator.Input
-		call        *call
-		address     string // address of the sender of input.Message
-		snapshotErr error  // error from writing the snapshot input.Compacted; may be nil
+		input   replicator.Input
+		call    *call
+		address string // address of the sender of input.Message
+		// earlierMember is set instead of input for a leader's message to an earlier member at
+		// this replica's address.
+		earlierMember uint64
+		snapshotErr   error // error from writing the snapshot input.Compacted; may be nil
 	}
 
 	// call is a proposal or a read whose outcome is awaited.
@@ -249,6 +253,9 @@
 	inputs := make([]replicator.Input, 0, len(batch))
 	for _, e := range batch {
 		switch {
+		case e.earlierMember != 0:
+			r.rejoin(ctx, e)
+			continue
 		case e.input.Proposal != nil:
 			r.proposals[e.input.Proposal.ID] = e.call
 		case e.input.Change != nil:
