Drop responses to polls of the worker's earlier incarnation

Callers saw a task that must run once run twice (TWICE).

When the worker reports a new incarnation, the agent forgets its session but kept the polls in flight. A response to a poll of the earlier incarnation was accepted as long as no newer session had answered: its starts went to the new incarnation. The leader frees the same runs when it opens the session of the new incarnation, and grants their tasks elsewhere. A long poll is held for up to a second, so a restart of the worker regularly falls into one.

The agent now forgets the polls in flight together with the session; a response without a known poll is dropped.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -121,6 +121,7 @@
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
 		r.runs, r.pacer = map[jaygw.Run]*run{}, pacer.New()
 		r.ends, r.recordedThrough, r.session = nil, 0, 0
+		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
 		r.worker = &w
