Refuse late polls of earlier agent processes and worker incarnations

Callers saw a task that must run once run twice (TWICE).

Any poll whose process or incarnation differed from the recorded session opened a new session, also one that was sent before that session and arrived late. Opening a session for another incarnation ends the runs of the VM as "the worker has started again": here they were those of the later incarnation, which went on running them while the leader granted their tasks elsewhere. The agent sends its long poll and its reports side by side, so a poll of the earlier incarnation can pass the one of the later; after a restart of the VM a poll of the earlier process can still be on its way.

A session now records the sequence number of the poll that opened it and the processes that it superseded. The leader refuses a poll of the same process with a lower number, and the polls of a superseded process. A superseded process that goes on polling with higher numbers is alive and may open a session again; that happens if the first poll of a dead process arrives late. The leader opens one session of a VM at a time, so that two decisions on one state cannot be applied in the wrong order.

--- a/command.go
+++ b/command.go
@@ -76,6 +76,8 @@
 		Incarnation WorkerIncarnation `cbor:"3,keyasint"`
 		// Domain is the failure domain that the worker reports.
 		Domain string `cbor:"4,keyasint,omitempty"`
+		// Sequence is the sequence number of the poll that opens the session.
+		Sequence uint64 `cbor:"5,keyasint,omitempty"`
 	}
 
 	// StartRuns is a batch of grants of runs; each succeeds or fails by itself.
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -124,7 +124,10 @@
 	if open.VM == "" || old == nil && len(r.state.Sessions) >= r.limits.Sessions {
 		return jaygw.Refuse(jaygw.RefusedTableFull, "the table of sessions holds its limit of %d", r.limits.Sessions)
 	}
-	r.state.Sessions[open.VM] = &Session{Number: uint64(index), Process: open.Process, Life: open.Incarnation, Domain: open.Domain}
+	r.state.Sessions[open.VM] = &Session{
+		Number: uint64(index), Process: open.Process, Life: open.Incarnation, Domain: open.Domain,
+		Sequence: open.Sequence, Superseded: superseded(old, open.Process),
+	}
 	if old != nil && old.Life != open.Incarnation {
 		var ended []jaygw.EndedRun
 		r.ForEachPlacement(open.VM, func(p *Placement) {
@@ -139,6 +142,15 @@
 	return jaygw.Result{}
 }
 
+// superseded returns the latest agent processes before a process that opens a session.
+func superseded(old *Session, process uint64) []uint64 {
+	if old == nil {
+		return nil
+	}
+	earlier := slices.DeleteFunc(slices.Concat(old.Superseded, []uint64{old.Process}), func(p uint64) bool { return p == process })
+	return earlier[max(0, len(earlier)-maxSuperseded):]
+}
+
 // StartRuns records grants. It checks each rule that depends on the state again, so that a
 // decision made from an older state starts nothing twice or too early.
 func (r *Registrar) StartRuns(start jaygw.StartRuns, now jaygw.Time) jaygw.Result {
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -91,6 +91,10 @@
 		Process uint64                  // number that the agent process has drawn at random
 		Life    jaygw.WorkerIncarnation // incarnation of the worker
 		Domain  string                  // failure domain of the VM
+		// Sequence is the sequence number of the poll that opened the session.
+		Sequence uint64 `cbor:",omitempty"`
+		// Superseded holds the latest agent processes that had sessions before, oldest first.
+		Superseded []uint64 `cbor:",omitempty"`
 	}
 
 	// Limits bounds the sizes of the tables.
@@ -106,6 +110,9 @@
 // can be queried, and a resent submission of it is acknowledged instead of accepted again.
 const retention = 10 * time.Minute
 
+// maxSuperseded bounds the superseded processes of a session.
+const maxSuperseded = 8
+
 // DefaultLimits returns limits with a margin of two over the target size.
 func DefaultLimits() Limits {
 	return Limits{Workflows: 50_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000}
--- a/internal/schedule/orchestrator/poll.go
+++ b/internal/schedule/orchestrator/poll.go
@@ -8,7 +8,6 @@
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/jaygw/jaygw/internal/control/registrar"
-	"github.com/sirupsen/logrus"
 )
 
 // expiryRetryDelay is the delay before a poll is tried again while the end of its VM's lease is
@@ -37,33 +36,6 @@
 	return result, err
 }
 
-func (o *Orchestrator) openSession(ctx context.Context, request jaygw.PollRequest) error {
-	var command *jaygw.Command
-	var err error
-	var previous registrar.Session
-	runs := 0
-	o.withRegistrar(func(state *registrar.Registrar) {
-		command, err = o.sessionCommand(request, state)
-		if session := state.Session(request.VM); session != nil {
-			previous = *session
-		}
-		state.ForEachPlacement(request.VM, func(*registrar.Placement) { runs++ })
-	})
-	if command == nil || err != nil {
-		return err
-	}
-	result, err := o.replica.Propose(ctx, *command)
-	if err != nil {
-		return err
-	}
-	o.log.WithFields(logrus.Fields{
-		"vm": request.VM, "process": request.Process, "sequence": request.Sequence, "worker": request.Worker.Incarnation.Name,
-		"born": int64(request.Worker.Incarnation.StartTime), "session": result.Index, "previous-session": previous.Number,
-		"previous-process": previous.Process, "previous-worker": previous.Life.Name, "previous-born": int64(previous.Life.StartTime), "runs": runs,
-	}).Info("scheduler: session opened")
-	return result.Err()
-}
-
 func (o *Orchestrator) commitEnds(ctx context.Context, request jaygw.PollRequest) error {
 	for {
 		var command *jaygw.Command
--- /dev/null
+++ b/internal/schedule/orchestrator/session.go
@@ -0,0 +1,112 @@
+package orchestrator
+
+import (
+	"context"
+	"slices"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/registrar"
+	"github.com/sirupsen/logrus"
+)
+
+// latePolls counts the refused polls of a process that a later one has superseded.
+type latePolls struct {
+	session  uint64 // number of the session of the later process
+	process  uint64
+	sequence uint64 // highest sequence number of a refused poll
+	count    int    // refused polls, each with a higher sequence number than the one before
+}
+
+// maxLatePolls is the number of polls of a superseded process that are refused as late. More polls show
+// that the process lives: an agent waits for two responses at most, and copies have equal numbers.
+const maxLatePolls = 8
+
+// openSession opens the session that a poll requires. Only one session of a VM is opened at a time, so
+// that the order of the sessions is that of the decisions.
+func (o *Orchestrator) openSession(ctx context.Context, request jaygw.PollRequest) error {
+	var command *jaygw.Command
+	var err error
+	var previous registrar.Session
+	runs := 0
+	o.withRegistrar(func(state *registrar.Registrar) {
+		command, err = o.sessionCommand(request, state)
+		if session := state.Session(request.VM); session != nil {
+			previous = *session
+		}
+		state.ForEachPlacement(request.VM, func(*registrar.Placement) { runs++ })
+		if command == nil {
+			return
+		}
+		if o.opening[request.VM] {
+			err = jaygw.ErrNotConfirmed
+			return
+		}
+		o.opening[request.VM] = true
+	})
+	fields := logrus.Fields{
+		"vm": request.VM, "process": request.Process, "sequence": request.Sequence, "previous-session": previous.Number,
+		"previous-process": previous.Process, "previous-worker": previous.Life.Name, "previous-born": int64(previous.Life.StartTime), "runs": runs,
+	}
+	if request.Worker != nil {
+		fields["worker"], fields["born"] = request.Worker.Incarnation.Name, int64(request.Worker.Incarnation.StartTime)
+	}
+	if err != nil && previous.Number > 0 && o.leading.Load() {
+		o.log.WithFields(fields).Info("scheduler: session refused")
+	}
+	if command == nil || err != nil {
+		return err
+	}
+	defer func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.opening, request.VM)
+	}()
+	result, err := o.replica.Propose(ctx, *command)
+	if err != nil {
+		return err
+	}
+	fields["session"] = result.Index
+	o.log.WithFields(fields).Info("scheduler: session opened")
+	return result.Err()
+}
+
+// sessionCommand returns the command that opens a session for a new agent process or a new
+// incarnation of its worker, or nil if the session is current. A late poll of an earlier process or
+// incarnation is refused: its session would end the runs of the later one while they run.
+func (t *vmTable) sessionCommand(request jaygw.PollRequest, state *registrar.Registrar) (*jaygw.Command, error) {
+	if !t.leads {
+		return nil, jaygw.ErrNotLeader
+	}
+	if request.Worker == nil {
+		return nil, jaygw.ErrInvalidMessage
+	}
+	session := state.Session(request.VM)
+	switch {
+	case session == nil:
+	case session.Process == request.Process && session.Life == request.Worker.Incarnation:
+		return nil, nil
+	case session.Process == request.Process && request.Sequence < session.Sequence,
+		slices.Contains(session.Superseded, request.Process) && t.isLate(request, session):
+		return nil, jaygw.ErrNotConfirmed
+	}
+	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
+		VM: request.VM, Process: request.Process, Incarnation: request.Worker.Incarnation, Domain: request.Worker.Domain,
+		Sequence: request.Sequence,
+	}}, nil
+}
+
+// isLate reports whether a poll of a superseded process may have been sent before its session was
+// superseded.
+func (t *vmTable) isLate(request jaygw.PollRequest, session *registrar.Session) bool {
+	late := t.latePolls[request.VM]
+	if late.session != session.Number || late.process != request.Process {
+		late = latePolls{session: session.Number, process: request.Process}
+	}
+	if request.Sequence <= late.sequence {
+		return true
+	}
+	late.sequence = request.Sequence
+	late.count++
+	t.latePolls[request.VM] = late
+	return late.count <= maxLatePolls
+}
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -30,6 +30,9 @@
 		speeds *estimator.Speeds       // relative speeds of the VMs
 
 		advice *adviceTable
+
+		opening   map[string]bool      // VMs whose session is being opened
+		latePolls map[string]latePolls // refused polls of superseded processes, by VM
 	}
 
 	// vmState is the leader's state of a VM: one whose agent has polled in this leadership, or one
@@ -81,31 +84,14 @@
 func newVMTable(lease time.Duration) *vmTable {
 	return &vmTable{
 		vms: map[string]*vmState{}, siblings: siblings{}, leaseDuration: lease, images: estimator.NewImageEffects(), speeds: estimator.NewSpeeds(),
-		advice: newAdviceTable(),
+		advice: newAdviceTable(), opening: map[string]bool{}, latePolls: map[string]latePolls{},
 	}
 }
 
 func (t *vmTable) setLeadership(term uint64, leads bool, now time.Time) {
 	t.leads, t.term, t.leaderSince = leads, term, now
 	t.vms, t.siblings = map[string]*vmState{}, siblings{}
-}
-
-// sessionCommand returns the command that opens a session for a new agent process or a new
-// incarnation of its worker, or nil if the session is current.
-func (t *vmTable) sessionCommand(request jaygw.PollRequest, state *registrar.Registrar) (*jaygw.Command, error) {
-	if !t.leads {
-		return nil, jaygw.ErrNotLeader
-	}
-	if request.Worker == nil {
-		return nil, jaygw.ErrInvalidMessage
-	}
-	session := state.Session(request.VM)
-	if session != nil && session.Process == request.Process && session.Life == request.Worker.Incarnation {
-		return nil, nil
-	}
-	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
-		VM: request.VM, Process: request.Process, Incarnation: request.Worker.Incarnation, Domain: request.Worker.Domain,
-	}}, nil
+	clear(t.latePolls)
 }
 
 // recordPoll records a poll and returns the command that commits the ends of runs that it reports,
