Ignore replies of the worker's earlier incarnation

Callers may see a task that runs twice (TWICE) or starts although its job was canceled (UNASKED).

The agent takes the highest clock reading in a worker's replies to convert its deadlines. A reply of the earlier incarnation that the agent handles after the report of the later one, as after a suspension of the agent, left the clock at the reading of the earlier one for good. Each deadline was then far in the future of the new worker's clock: an order that is delayed on the way is no longer denied as late, and the lease of the worker outlasts the one that the leader counts.

Failed before, TestReplyOfEarlierIncarnation (go test ./internal/agent/poller): "1h0m3.88s" is not less than or equal to "5s"

A reply now counts only if the incarnation that the order was for is still the current one.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -46,7 +46,10 @@
 		}).Warn("agent: start not confirmed")
 	}
 	a.mu.Lock()
-	actions := a.runner.Started(order.Run, reply, err, a.now())
+	var actions []runner.Action
+	if a.isCurrent(incarnation) {
+		actions = a.runner.Started(order.Run, reply, err, a.now())
+	}
 	a.mu.Unlock()
 	a.perform(ctx, actions)
 	notify(a.listDue)
@@ -63,7 +66,9 @@
 	defer cancel()
 	reply, err := a.worker.Stop(ctx, incarnation, run, fence)
 	a.mu.Lock()
-	a.runner.Stopped(run, reply, err, a.now())
+	if a.isCurrent(incarnation) {
+		a.runner.Stopped(run, reply, err, a.now())
+	}
 	a.mu.Unlock()
 	a.count("stops." + outcome(reply, err))
 	a.log.WithFields(logrus.Fields{
@@ -80,7 +85,9 @@
 	defer cancel()
 	reply, err := a.worker.SetPace(ctx, incarnation, pace.Run, pace.Percent, fence)
 	a.mu.Lock()
-	a.runner.Paced(pace, reply, err, a.now())
+	if a.isCurrent(incarnation) {
+		a.runner.Paced(pace, reply, err, a.now())
+	}
 	a.mu.Unlock()
 	a.log.WithFields(logrus.Fields{
 		"task": pace.Run.Task.String(), "run": pace.Run.Number, "percent": pace.Percent,
@@ -95,6 +102,13 @@
 	return jaygw.WorkerIncarnation{}, 0
 }
 
+// isCurrent reports whether a reply of an incarnation counts. The clock of a later incarnation
+// starts anew, and its runs are others.
+func (a *Poller) isCurrent(incarnation jaygw.WorkerIncarnation) bool {
+	current, _ := a.incarnation()
+	return current == incarnation
+}
+
 // outcome returns the part of a counter's name that stands for the result of an order.
 func outcome(reply jaygw.WorkerResponse, err error) string {
 	switch {
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -287,7 +287,9 @@
 	list, err := a.worker.ExtendLease(callCtx, incarnation, extension)
 	a.mu.Lock()
 	if err != nil {
-		a.runner.ListFailed(a.now())
+		if a.isCurrent(incarnation) {
+			a.runner.ListFailed(a.now())
+		}
 		a.mu.Unlock()
 		return err
 	}
