Repeat a stop that the worker has denied

A run of a canceled job can go on running (UNASKED), or beside the run that replaced it (TWICE).

Each denial of a stop but "busy" counted as a confirmed stop. After one for the fence, another incarnation or an unreadable order the run went on, and the agent never sent the stop again, because a run that is listed after its stop is expected to end.

Failed before, stop-denied.script:18 (go test -run TestScripts ./internal/agent/runner): elements differ; extra elements in list A: stop:0/1

Only "old", which means that the run was stopped or has ended, confirms a stop; any other denial leads to a repetition, as does a missing reply.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -294,14 +294,15 @@
 	return &Action{Stop: &id}
 }
 
-// Stopped handles the result of a stop. A stop without a response is sent again.
+// Stopped handles the result of a stop. A stop that has no response or was denied is sent again,
+// unless the worker has stopped or ended the run already.
 func (r *Runner) Stopped(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) {
 	r.recordResponse(reply, err, now)
 	state := r.runs[id]
 	if state == nil || state.phase != stopping {
 		return
 	}
-	if err != nil || reply.Denied == jaygw.DeniedUnhealthy {
+	if err != nil || reply.Denied != "" && reply.Denied != jaygw.DeniedStale {
 		state.retryStopAt = now.Add(stopRetry)
 		return
 	}
