Count each failed run of a task once, also if the run had ended before

Callers saw a task start again after as many failed runs as its queue allows (BUDGET).

Cause: the registrar counted a failure only while the run was placed and was the latest of its task. A run can be considered ended before its failure is listed: its agent had given it up or missed it in a list, its lease was over, or a new session had ended it. The failure was then ignored ("the run had ended before", "the task has had a later run"), while its agent got the end as recorded and the worker forgot it.

A task now has the numbers of its failed runs. A failure counts once for each number, whatever ended the run before and whether or not a later run was granted. The new field has a name of its own: states without it are restored, and a resent failure in them does not count again.

--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -239,29 +239,39 @@
 		s.Held--
 		task.Released = now
 	}
-	// A run may be reported as done after it was removed because its lease had expired. The
-	// report counts if no later run has been granted, since the work was then done just once.
+	step := &w.Spec.Steps[e.Run.Task.Step]
+	// A failed run has used up an attempt even if it was considered ended before, and a later run was
+	// granted. A run may also be reported as done after it was removed because its lease had expired.
+	// That counts only if no later run has been granted, since the work was then done just once.
 	switch {
 	case task.Done:
 		return "the task is done"
+	case e.Outcome == jaygw.RunFailed && !step.Lasting && !task.hasFailed(e.Run.Number, p != nil):
+		if p != nil && e.Checkpoint != "" {
+			r.storeCheckpoint(step, s, task, e.Checkpoint)
+		}
+		r.recordFailure(w, s, task, step, e.Run.Number, vm, now)
+		return ""
 	case task.Number != e.Run.Number:
 		return "the task has had a later run"
 	case p == nil && e.Outcome != jaygw.RunDone:
 		return "the run had ended before"
 	}
-	step := &w.Spec.Steps[e.Run.Task.Step]
 	if e.Checkpoint != "" {
 		r.storeCheckpoint(step, s, task, e.Checkpoint)
 	}
-	switch {
-	case e.Outcome == jaygw.RunDone && !step.Lasting:
+	if e.Outcome == jaygw.RunDone && !step.Lasting {
 		r.completeTask(w, e.Run, step, now)
-	case e.Outcome == jaygw.RunFailed && !step.Lasting:
-		r.recordFailure(w, s, task, step, vm, now)
 	}
 	return ""
 }
 
+// hasFailed reports whether the failure of a run has been counted. States of earlier builds have no
+// run numbers: a failure in them may be that of any run that is not placed.
+func (t *TaskState) hasFailed(number uint64, placed bool) bool {
+	return slices.Contains(t.FailedRuns, number) || !placed && len(t.FailedRuns) < t.Failures
+}
+
 // storeCheckpoint stores a checkpoint of a task. The checkpoint of one member of a gang is stored
 // for all members, since it is valid for the whole gang.
 func (r *Registrar) storeCheckpoint(step *jaygw.Step, s *StepState, task *TaskState, checkpoint string) {
@@ -299,8 +309,9 @@
 
 // recordFailure counts a failed run of a task and ends the workflow if the queue allows no further
 // attempt. The failures of all members of a gang are added up.
-func (r *Registrar) recordFailure(w *Workflow, s *StepState, task *TaskState, step *jaygw.Step, vm string, now jaygw.Time) {
+func (r *Registrar) recordFailure(w *Workflow, s *StepState, task *TaskState, step *jaygw.Step, number uint64, vm string, now jaygw.Time) {
 	task.Failures++
+	task.FailedRuns = append(slices.Clone(task.FailedRuns), number)
 	task.FailedOn = append(slices.Clone(task.FailedOn), vm)
 	failures := task.Failures
 	if step.Gang {
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -69,6 +69,7 @@
 		Runs       int        // number of placed runs
 		Failures   int        // number of failed runs
 		FailedOn   []string   // VMs of the failed runs
+		FailedRuns []uint64   // numbers of the failed runs
 		LastVM     string     // VM of the latest run
 		Checkpoint string     // latest checkpoint, or empty
 		Released   jaygw.Time // time of the end of the latest run
