Settle the end of a run only by the poll that reported that end

Callers saw a task start again after its queue's number of failed runs (BUDGET); an end as done could be lost in the same way.

Cause: a response names the runs whose ends are recorded, not which ends. An agent may have ended a run itself, as not started or lost, and a poll with that end is on its way when the worker lists another end of the same run. The response to that poll settled the run: last-seen moved past the listed end, which was never reported.

Now a run remembers the latest poll at the time when its end became known. Only a response to a later poll, which reported that end, settles it.

On the code before: go test -run TestScripts/failure-after-given-up ./internal/agent/runner --- FAIL: failure-after-given-up.script:17: elements differ, extra in B: "recorded:1" (the request for a list confirms the failure although no poll has reported it).

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -52,6 +52,7 @@
 		checkpoint  string
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
+		endSequence uint64 // number of the latest poll when the end became known; later polls report it
 	}
 
 	numberedEnd struct {
@@ -196,7 +197,7 @@
 		r.leaseEnd = end
 	}
 	for _, id := range result.Recorded {
-		r.settle(id, now)
+		r.settle(id, result.Sequence, now)
 	}
 	r.pacer.Learn(result.Effects)
 	for _, t := range result.Traits {
@@ -343,13 +344,14 @@
 
 // markEnded ends a run. The end is reported until the leader has recorded it.
 func (r *Runner) markEnded(state *run, end jaygw.EndedRun, now time.Time) {
-	state.phase, state.since, state.end = ended, now, &end
+	state.phase, state.since, state.end, state.endSequence = ended, now, &end, r.sequence
 }
 
-// settle removes a run whose end the leader has recorded, and lets the worker discard it.
-func (r *Runner) settle(id jaygw.Run, now time.Time) {
+// settle removes a run whose end the leader has recorded, and lets the worker discard it. A response
+// to a poll that reported another end of the run, or none, does not settle it.
+func (r *Runner) settle(id jaygw.Run, sequence uint64, now time.Time) {
 	state := r.runs[id]
-	if state == nil || state.phase != ended {
+	if state == nil || state.phase != ended || sequence <= state.endSequence {
 		return
 	}
 	delete(r.runs, id)
