Report no run as not started while an earlier agent process may have started it

Cause: a new agent process reports no runs in its first poll, so the leader orders the placed runs again, also those that the earlier process has started. If the worker then drained, was unhealthy ("busy") or refused the order for another reason, the agent reported the run as not started. The leader granted the next run elsewhere while the first one went on, or had failed.

A denial does not prove that a run is absent. Until the worker has listed its runs to this process, a start that is denied or not sent leaves open whether the run is there. The next list decides: a listed run is adopted, an absent one is stopped before it is reported as not started. A denial because of a newer fence is handled in the same way, since another process gives orders then. A lease in an admitted start no longer counts as a list.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -35,6 +35,7 @@
 		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
 		recordedThrough uint64                  // the leader has recorded all ends up to this number
 		lastList        time.Time               // time of the last list, initially of the worker's first report
+		adopted         bool                    // whether the worker has listed its runs, maybe some of an earlier agent process
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
 		contact         contact
 	}
@@ -48,6 +49,7 @@
 		tailLatency time.Duration
 		usedCPU     jaygw.MilliCores
 		resumed     bool // whether it was started from a checkpoint; true if unknown
+		inherited   bool // whether an earlier agent process may have started it
 		progress    int
 		checkpoint  string
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
@@ -124,6 +126,7 @@
 		r.ends, r.recordedThrough, r.session = nil, 0, 0
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
+		r.adopted = false
 		r.worker = &w
 		return true
 	}
@@ -225,14 +228,14 @@
 	if _, settled := r.settled[id]; settled || r.runs[id] != nil {
 		return nil
 	}
-	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != ""}
+	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != "", inherited: !r.adopted}
 	startBy := sent.Add(order.ValidFor)
 	if !now.Before(startBy) {
 		return nil // the next response carries a new permit
 	}
 	r.runs[id] = state
 	if r.worker.Draining {
-		r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "the worker drains"}, now)
+		r.giveUp(id, state, "the worker drains", now)
 		return nil
 	}
 	return &Action{Start: &order, StartBy: startBy}
@@ -246,7 +249,7 @@
 		return 0, false
 	}
 	if r.worker.Draining || !now.Before(startBy) || !now.Before(r.leaseEnd) {
-		r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "the permit is over"}, now)
+		r.giveUp(id, state, "the permit is over", now)
 		return 0, false
 	}
 	end := now.Add(startWindow)
@@ -266,12 +269,10 @@
 		return nil
 	}
 	switch {
-	case err != nil || reply.Denied == jaygw.DeniedStale:
+	case err != nil || reply.Denied == jaygw.DeniedStale || reply.Denied == jaygw.DeniedFence:
 		state.phase, state.since = startUnknown, now
 	case reply.Denied != "":
-		r.markEnded(state, jaygw.EndedRun{
-			Run: id, Outcome: jaygw.RunNotStarted, Reason: "refused by the worker: " + string(reply.Denied),
-		}, now)
+		r.giveUp(id, state, "refused by the worker: "+string(reply.Denied), now)
 	default:
 		state.phase, state.since = running, now
 		return paceActions(r.pacer.DecideNew(r.observations(), now))
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -14,20 +14,16 @@
 	if r.worker == nil || r.session == 0 {
 		return true
 	}
-	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() && r.adopted()
+	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() && r.adopted
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
 // The worker responds to a request for a list immediately while it has such ends.
 func (r *Runner) HasListedEnds() bool { return len(r.ends) > 0 }
 
-// adopted reports whether the worker has been asked for a list since its session was opened.
-// It may have runs of an earlier agent process.
-func (r *Runner) adopted() bool { return !r.workerLeaseEnd.IsZero() }
-
 // Urgent reports whether the next list is needed immediately, before a run ends.
 func (r *Runner) Urgent() bool {
-	if !r.adopted() {
+	if !r.adopted {
 		return true
 	}
 	for _, state := range r.runs {
@@ -54,6 +50,16 @@
 	return extension
 }
 
+// giveUp ends a run that this agent process has not started. If an earlier process may have started
+// it, only a list shows whether it is there.
+func (r *Runner) giveUp(id jaygw.Run, state *run, reason string, now time.Time) {
+	if state.inherited {
+		state.phase, state.since = startUnknown, now
+		return
+	}
+	r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: reason}, now)
+}
+
 // extendWorkerLease records that the worker may continue until end.
 func (r *Runner) extendWorkerLease(end time.Time) {
 	if end.After(r.workerLeaseEnd) {
@@ -100,7 +106,7 @@
 		return nil, false
 	}
 	r.updateClock(list.WorkerResponse, now)
-	r.lastList, r.contact.listFailedSince = now, time.Time{}
+	r.lastList, r.contact.listFailedSince, r.adopted = now, time.Time{}, true
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
