Bootstrap the group on the seeds that have a replica

An installation whose first seeds name a control process without a replica never served a request: the replicas at the other seeds waited for its vote. It is the same class as the entries that found no group: a bootstrap address that is taken for a member.

A replica that bootstraps the group now asks the other seeds whether they have a replica, and counts those that have one. A seed that does not respond for 5 s counts as one, as long as a majority of the seeds is known to have one. The processes may differ in their answer for a seed that is down only while it has no vote, so all majorities overlap. The process serves as a guide to the group until its replica is open.

A first start whose seeds all have no replica still finds no founder.

--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -91,3 +91,39 @@
 		})
 	}
 }
+
+// seedGroup answers which seeds have a replica; those that are missing do not respond.
+type seedGroup map[string]bool
+
+func (g seedGroup) HasReplica(_ context.Context, address string) (bool, error) {
+	has, known := g[address]
+	if !known {
+		return false, os.ErrDeadlineExceeded
+	}
+	return has, nil
+}
+
+// TestFoundersIncludeSeedThatNeverVotes guards against a first election that waits for a seed without a
+// replica, and against one that never takes place because a seed is down.
+func TestFoundersIncludeSeedThatNeverVotes(t *testing.T) {
+	for name, c := range map[string]struct {
+		seeds    seedGroup
+		founders []string
+	}{
+		"all have a replica": {seedGroup{seeds[1]: true, seeds[2]: true}, seeds},
+		"one has none":       {seedGroup{seeds[1]: true, seeds[2]: false}, seeds[:2]},
+		"only this one":      {seedGroup{seeds[1]: false, seeds[2]: false}, seeds[:1]},
+		"one is down":        {seedGroup{seeds[1]: true}, seeds},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			founders, err := bootstrapper.Founders(t.Context(), t.TempDir(), seeds[0], seeds, true, c.seeds, logrus.New())
+			require.NoError(t, err)
+			require.Equal(t, c.founders, founders)
+		})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	_, err := bootstrapper.Founders(ctx, t.TempDir(), seeds[0], seeds, true, seedGroup{seeds[1]: false}, logrus.New())
+	require.ErrorIs(t, err, context.DeadlineExceeded, "the seed that is down may be the only other voter")
+}
--- a/internal/control/client/locate.go
+++ b/internal/control/client/locate.go
@@ -111,6 +111,12 @@
 	}
 }
 
+// HasReplica asks the process at an address whether it has a replica.
+func (c *Client) HasReplica(ctx context.Context, address string) (bool, error) {
+	response, err := c.locateOnce(ctx, address, c.locator.Request())
+	return response.Replica, err
+}
+
 // exchange exchanges views with the next processes in turn.
 func (c *Client) exchange(ctx context.Context) {
 	request := c.locator.Request()
--- a/internal/control/locator/locator.go
+++ b/internal/control/locator/locator.go
@@ -16,13 +16,14 @@
 	// newer views, but the seeds stay, so that a process whose known members are all gone still has
 	// addresses to ask. It is safe for concurrent use.
 	Locator struct {
-		mu    sync.Mutex
-		self  string                 // address at which this process can be asked; empty if it cannot
-		local func() jaygw.GroupView // view of the replica in this process; nil without one
-		seeds []string
-		view  jaygw.GroupView
-		peers map[string]time.Time // times of the last contact with control processes, by address
-		turn  int                  // number of targets returned so far
+		mu      sync.Mutex
+		self    string                 // address at which this process can be asked; empty if it cannot
+		replica bool                   // whether this process has a replica
+		local   func() jaygw.GroupView // view of that replica; nil until it is open
+		seeds   []string
+		view    jaygw.GroupView
+		peers   map[string]time.Time // times of the last contact with control processes, by address
+		turn    int                  // number of targets returned so far
 	}
 
 	// Option configures a Locator.
@@ -47,8 +48,11 @@
 // WithAddress sets the address at which other processes can ask this one.
 func WithAddress(address string) Option { return func(l *Locator) { l.self = address } }
 
-// WithReplica sets a function that returns the view of the replica in this process.
-func WithReplica(view func() jaygw.GroupView) Option { return func(l *Locator) { l.local = view } }
+// WithReplica tells other processes that this process has a replica.
+func WithReplica() Option { return func(l *Locator) { l.replica = true } }
+
+// WithReplicaView sets a function that returns the view of the replica in this process.
+func WithReplicaView(view func() jaygw.GroupView) Option { return func(l *Locator) { l.local = view } }
 
 // New returns the locator of a process that knows only the seeds.
 func New(seeds []string, options ...Option) *Locator {
@@ -120,7 +124,7 @@
 	defer l.mu.Unlock()
 	l.learn(request.View)
 	l.recordPeer(request.Address, now)
-	response := jaygw.LocateResponse{View: l.currentView()}
+	response := jaygw.LocateResponse{View: l.currentView(), Replica: l.replica}
 	for _, peer := range slices.Sorted(maps.Keys(l.peers)) {
 		// A peer known only from others is not passed on, or an address that is gone would
 		// circulate forever.
--- a/internal/control/locator/locator_test.go
+++ b/internal/control/locator/locator_test.go
@@ -40,7 +40,7 @@
 			processes[address] = locator.New(seeds, locator.WithAddress(address))
 		}
 		view.Leader = fmt.Sprintf("p%d", replica)
-		processes[view.Leader].Configure(locator.WithReplica(func() jaygw.GroupView { return view }))
+		processes[view.Leader].Configure(locator.WithReplicaView(func() jaygw.GroupView { return view }))
 		asker := locator.New([]string{fmt.Sprintf("p%d", rapid.IntRange(0, count-1).Draw(t, "seed of the entry"))})
 		for round := range 4 * count {
 			now := start.Add(time.Duration(round) * 400 * time.Millisecond)
--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -1,7 +1,6 @@
 package launcher
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -33,7 +32,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 )
 
@@ -269,10 +267,25 @@
 func (n *Node) startControl(ctx context.Context) error {
 	address := n.settings.ProcessAddress(n.settings.Address)
 	n.client.Locator().Configure(locator.WithAddress(address))
+	group, err := n.serveGuide(address)
+	if err != nil {
+		return err
+	}
 	if n.settings.DataFolder == "" {
-		return n.startGuide(ctx, address)
+		n.log.Info("control: no data folder, serving operators without a replica")
+		context.AfterFunc(ctx, n.stopWork)
+		return n.announce()
+	}
+	n.client.Locator().Configure(locator.WithReplica())
+	founders, err := bootstrapper.Founders(ctx, n.settings.DataFolder, address, n.settings.SeedPeers(), n.settings.FirstStart, n.client, n.log)
+	if ctx.Err() != nil { // the process was stopped before the seeds responded
+		n.stopWork()
+		return nil
 	}
-	identity, err := bootstrapper.Open(n.settings.DataFolder, address, n.settings.SeedPeers(), n.settings.FirstStart)
+	if err != nil {
+		return err
+	}
+	identity, err := bootstrapper.Open(n.settings.DataFolder, address, founders, n.settings.FirstStart)
 	if err != nil {
 		return err
 	}
@@ -306,14 +319,15 @@
 	}
 	n.replicaAddress = address
 	n.client.SetSeeds(n.seedPeers(n.settings))
-	n.client.Locator().Configure(locator.WithReplica(func() jaygw.GroupView {
+	n.client.Locator().Configure(locator.WithReplicaView(func() jaygw.GroupView {
 		status := replica.Status()
 		if !status.IsMember() {
 			return jaygw.GroupView{}
 		}
 		return status.View()
 	}))
-	if err := n.serveGroup(address, handlers); err != nil {
+	group.replace(handlers)
+	if err := n.announce(); err != nil {
 		return err
 	}
 	n.group.Go(func() error { return replica.Run(n.workCtx) })
@@ -338,31 +352,6 @@
 	return nil
 }
 
-// startGuide starts a control process without a replica.
-func (n *Node) startGuide(ctx context.Context, address string) error {
-	n.log.Info("control: no data folder, serving operators without a replica")
-	context.AfterFunc(ctx, n.stopWork)
-	handlers := drpcmux.New()
-	if err := messenger.DRPCRegisterGroup(handlers, server.NewGuide(n.settings.Group, n.client.Locator())); err != nil {
-		return err
-	}
-	return n.serveGroup(address, handlers)
-}
-
-// serveGroup serves other processes and operators, and announces this process.
-func (n *Node) serveGroup(address string, handlers drpc.Handler) error {
-	listener, err := n.listen(cmp.Or(n.settings.Listen.Processes, address))
-	if err != nil {
-		return err
-	}
-	if err := n.serveOperators(); err != nil {
-		return err
-	}
-	n.group.Go(func() error { return dialer.Serve(n.workCtx, listener, handlers) })
-	n.group.Go(func() error { return n.client.Announce(n.workCtx) })
-	return nil
-}
-
 func (n *Node) serveOperators() error {
 	workflowRelay := relay.New(n.client, n.log, n.registry)
 	_, err := n.serve(n.settings.Listen.Operators, platform.Operators(workflowRelay, n.settings.Domains))
