Keep the error of a start that is canceled out of the linter's findings

A control process that is stopped before the seeds respond ended through a branch that dropped the error, which the linter reports. Run treats a canceled start as a stop. The launcher's tests pass.

--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -126,7 +126,7 @@
 	default:
 		err = n.startControl(ctx)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, context.Canceled) { // canceled: stopped while it was starting
 		return err
 	}
 	n.group.Go(func() error { n.watchSettings(n.workCtx, hangup); return nil })
@@ -278,11 +278,8 @@
 	}
 	n.client.Locator().Configure(locator.WithReplica())
 	founders, err := bootstrapper.Founders(ctx, n.settings.DataFolder, address, n.settings.SeedPeers(), n.settings.FirstStart, n.client, n.log)
-	if ctx.Err() != nil { // the process was stopped before the seeds responded
-		n.stopWork()
-		return nil
-	}
 	if err != nil {
+		n.stopWork()
 		return err
 	}
 	identity, err := bootstrapper.Open(n.settings.DataFolder, address, founders, n.settings.FirstStart)
