Let a member that joins soon after a loss replace the lost voter

A new member that names none to replace takes the place of a voter that has been silent for three election times (1.35 s). One that joined earlier became a voter beside the lost one, which stayed for the 6 s after which silent voters are removed, longer than a replaced VM has to catch up (4 s). In that time a group for two losses had six voters, one of them lost: two more lost disks leave three of six, no quorum, and nothing is served again.

The decision is now taken when the learner becomes a voter: if the group then has more voters than the tolerated losses need, it waits until each voter has responded after the learner joined, or one has been silent for three election times, and replaces that one. With all voters responsive this takes one round trip. Groups that don't remove silent voters by themselves are as before.

--- a/internal/control/replicator/leader.go
+++ b/internal/control/replicator/leader.go
@@ -11,6 +11,7 @@
 type progress struct {
 	match       uint64           // index up to which the log is known to equal the leader's
 	next        uint64           // index of the next entry to send
+	since       time.Duration    // time from which the leader has had this progress
 	probing     bool             // whether to send one message at a time, until a match is found
 	lastContact time.Duration    // time of the last response
 	lastSent    time.Duration    // time of the last append message
@@ -55,7 +56,7 @@
 func (c *Core) updateProgress() {
 	for _, m := range c.Members() {
 		if m.ID != c.config.ID && c.progress[m.ID] == nil {
-			c.progress[m.ID] = &progress{next: c.termStart, probing: true, lastContact: c.now}
+			c.progress[m.ID] = &progress{next: c.termStart, since: c.now, probing: true, lastContact: c.now}
 		}
 	}
 	for id := range c.progress {
--- a/internal/control/replicator/members.go
+++ b/internal/control/replicator/members.go
@@ -132,6 +132,20 @@
 	return found
 }
 
+// lostVoter returns the voter that a member without Replaces comes for, or zero if all are
+// responsive. The answer is known once each voter has responded after the member joined, or one has
+// been unresponsive for long enough: a lost voter beside its successor would let the group
+// withstand one loss less.
+func (c *Core) lostVoter(joined time.Duration) (id uint64, known bool) {
+	if id = c.longestUnresponsive(unresponsiveElections * c.config.Election); id != 0 {
+		return id, true
+	}
+	return 0, !slices.ContainsFunc(voters(c.Members()), func(id uint64) bool {
+		p := c.progress[id]
+		return p != nil && p.lastContact <= joined
+	})
+}
+
 // requiredVoters returns the number of voters that withstands the tolerated losses.
 func (c *Core) requiredVoters() int { return max(minVoters, 2*c.config.ToleratedLosses+1) }
 
@@ -170,6 +184,13 @@
 		}
 		members := slices.Clone(current.members)
 		members[i].Voter = true
+		if m.Replaces == 0 && c.config.RemoveUnresponsiveAfter != 0 && len(voters(members)) > c.requiredVoters() {
+			lost, known := c.lostVoter(p.since)
+			if !known {
+				continue
+			}
+			members[i].Replaces = lost
+		}
 		if c.quorumActive(members) {
 			c.append(Entry{Kind: MembersEntry, Members: members})
 			return
--- a/internal/control/replicator/members_test.go
+++ b/internal/control/replicator/members_test.go
@@ -52,6 +52,30 @@
 	})
 }
 
+// TestMemberThatJoinsSoonAfterALossReplacesTheLostOne guards against a group that has a lost voter
+// beside the one that came in its place: with two more losses the rest is no majority.
+func TestMemberThatJoinsSoonAfterALossReplacesTheLostOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if !sample(t, 50) {
+			return
+		}
+		c := newCluster(t, 5, rapid.Uint64().Draw(t, "seed"))
+		for _, n := range c.nodes {
+			n.core.config.RemoveUnresponsiveAfter, n.core.config.ToleratedLosses = 6*time.Second, 2
+		}
+		require.True(t, c.runUntil(time.Minute, func() bool { return c.converged(1) }))
+		c.nodes[c.leader().id%5].core = nil
+		wait := time.Duration(rapid.IntRange(0, 3000).Draw(t, "milliseconds")) * time.Millisecond
+		c.runUntil(wait, func() bool { return false })
+		joiner := c.addSpare()
+		require.NoError(t, c.join(joiner))
+		require.True(t, c.runUntil(3*time.Second, func() bool {
+			n := c.leader()
+			return n != nil && isVoter(n.core.Members(), joiner.id) && len(n.core.Members()) == 5
+		}), "%s", c)
+	})
+}
+
 // TestAcknowledgedPutsSurviveToleratedDiskLosses guards against an acknowledged command that is
 // lost, and a group without a leader, once the tolerated number of disks is lost while all replicas
 // stop, also when disks were lost and replaced before.
