--- a/internal/control/journaler/disk_test.go
+++ b/internal/control/journaler/disk_test.go
@@ -112,16 +112,27 @@
 	return nil
 }
 
-// crash discards name changes and writes that were not synced, except for a drawn part, which may
-// have a hole of zeros.
+// kill ends the process that uses the disk: nothing is lost, and nothing more becomes durable.
+func (d *fakeDisk) kill() { d.locked, d.callsLeft, d.fullWrites = false, -1, 0 }
+
+// crash discards name changes and writes that were not synced: all of them, or except for a drawn
+// part, which may have a hole of zeros. Each change of a name is kept or lost by itself.
 func (d *fakeDisk) crash(t *rapid.T) {
-	for _, f := range d.unsyncedChanges[:rapid.IntRange(0, len(d.unsyncedChanges)).Draw(t, "names kept")] {
-		f(d.durable)
+	forgetAll := rapid.Bool().Draw(t, "forget all")
+	for _, f := range d.unsyncedChanges {
+		if !forgetAll && rapid.Bool().Draw(t, "name kept") {
+			f(d.durable)
+		}
 	}
-	d.unsyncedChanges, d.locked, d.callsLeft, d.fullWrites = nil, false, -1, 0
+	d.unsyncedChanges = nil
+	d.kill()
 	d.current = maps.Clone(d.durable)
 	for _, name := range slices.Sorted(maps.Keys(d.current)) {
 		file := d.current[name]
+		if forgetAll {
+			file.data = slices.Clone(file.synced)
+			continue
+		}
 		if len(file.data) > len(file.synced) {
 			unsynced := slices.Clone(file.data[len(file.synced):rapid.IntRange(len(file.synced), len(file.data)).Draw(t, "bytes kept")])
 			if len(unsynced) > 0 && rapid.Bool().Draw(t, "hole") {
--- a/internal/control/journaler/journaler_test.go
+++ b/internal/control/journaler/journaler_test.go
@@ -89,8 +89,17 @@
 				disk.callsLeft, disk.fullWrites = -1, 0
 				require.Error(t, j.Append([]replicator.Entry{{Index: current.last() + 1, Term: 99}}))
 			}
-			disk.crash(t)
 			var found storedState
+			if rapid.Bool().Draw(t, "process killed first") {
+				disk.kill()
+				_, found = reopen(t, disk, retry)
+				if err != nil && !equal(current, found) {
+					current = next
+				}
+				require.True(t, equal(current, found), "want %+v\nfound %+v after a kill", current, found)
+				err = nil // what was found must also survive the crash
+			}
+			disk.crash(t)
 			j, found = reopen(t, disk, retry)
 			if err != nil && !equal(current, found) {
 				current = next
