Log each start with what decides whether it may still be sent

A start is checked a last time immediately before its order leaves. The line names the session, the worker's incarnation, how long permit and lease still last, the age of the worker's clock reading, the deadline and the checkpoint, so that an order that a worker carries out too late or twice can be traced to what its agent knew.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -27,9 +27,16 @@
 
 func (a *Poller) start(ctx context.Context, order jaygw.StartOrder, startBy time.Time) {
 	a.mu.Lock()
-	deadline, ok := a.runner.Admit(order.Run, startBy, a.now())
+	now := a.now()
+	deadline, ok := a.runner.Admit(order.Run, startBy, now)
 	incarnation, fence := a.incarnation()
+	leaseLeft, clockAge := a.runner.LeaseLeft(now), a.runner.ClockAge(now)
 	a.mu.Unlock()
+	a.log.WithFields(logrus.Fields{
+		"task": order.Run.Task.String(), "run": order.Run.Number, "admitted": ok, "session": fence,
+		"worker": incarnation.Name, "born": int64(incarnation.StartTime), "permit-left": startBy.Sub(now).String(),
+		"lease-left": leaseLeft.String(), "clock-age": clockAge.String(), "deadline": deadline.String(), "checkpoint": order.Checkpoint,
+	}).Info("agent: start decided")
 	if !ok {
 		notify(a.reportReady)
 		return
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -63,7 +63,7 @@
 // which let the later one carry out an order long after it was given.
 func TestReplyOfEarlierIncarnation(t *testing.T) {
 	const lease = 4 * time.Second
-	log, _ := logtest.NewNullLogger()
+	log, logged := logtest.NewNullLogger()
 	worker := &workerStub{started: make(chan jaygw.WorkerStart), release: make(chan jaygw.WorkerResponse)}
 	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
 	session := uint64(7)
@@ -86,4 +86,14 @@
 	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
 	require.NoError(t, a.listRuns(t.Context(), 0))
 	require.LessOrEqual(t, worker.extension.Deadline, time.Second+lease)
+	var decided *logrus.Entry
+	for _, entry := range logged.AllEntries() {
+		if entry.Message == "agent: start decided" {
+			require.Nil(t, decided, "one line for each start")
+			decided = entry
+		}
+	}
+	require.NotNil(t, decided)
+	require.Equal(t, true, decided.Data["admitted"])
+	require.Equal(t, "4s", decided.Data["lease-left"])
 }
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -257,6 +257,12 @@
 	return r.workerTime(end), true
 }
 
+// LeaseLeft returns how long the lease lasts after now; it is negative once the lease is over.
+func (r *Runner) LeaseLeft(now time.Time) time.Duration { return r.leaseEnd.Sub(now) }
+
+// ClockAge returns the age of the latest reading of the worker's clock.
+func (r *Runner) ClockAge(now time.Time) time.Duration { return now.Sub(r.clockAt) }
+
 // Started handles the result of a start and returns the actions to perform: a spare run gets its
 // pace.
 func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) []Action {
