Count a denied request for a list as one without a response

A task whose worker denies each request for a list has nothing running and is never started again.

The agent ignored such a reply: it went on to assume that its requests extend the worker's lease, reported the worker as healthy, and listed the runs to the leader, also after the worker had ended them with its lease.

A denied request has not been carried out, so the worker now counts as one that does not list its runs: it gets no new ones, its lease is left alone, and its runs end with it. A reply that was meant for an earlier incarnation is ignored.

--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -293,7 +293,11 @@
 		a.mu.Unlock()
 		return err
 	}
-	actions, changed := a.runner.Listed(list, start, a.now())
+	var actions []runner.Action
+	changed := false
+	if a.isCurrent(incarnation) {
+		actions, changed = a.runner.Listed(list, start, a.now())
+	}
 	a.mu.Unlock()
 	a.perform(ctx, actions)
 	if changed {
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -27,6 +27,7 @@
 //	stopped RUN ok|timeout          result of a stop
 //	extend                          a request for a list is sent to the worker
 //	listed AGE [running=RUN] [ended=NUMBER:RUN:OUTCOME]   list that was requested AGE ago
+//	list-denied DENIAL              a request for a list was denied
 //	list-timeout                    a request for a list got no response
 //	idle                            whether the worker need not be asked for a list
 //	due                             stops that are sent now
@@ -118,6 +119,10 @@
 		}
 	case "listed":
 		in.listed(args, elapsed, now)
+	case "list-denied":
+		reply, _ := in.reply(args[0], elapsed)
+		actions, _ := in.runner.Listed(jaygw.RunList{WorkerResponse: reply, Incarnation: in.incarnation}, now, now)
+		in.addActions(actions)
 	case "list-timeout":
 		in.runner.ListFailed(now)
 	case "idle":
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// ListFailed handles a request for a list that got no response.
+// ListFailed handles a request for a list that got no response or was denied.
 func (r *Runner) ListFailed(now time.Time) {
 	if r.contact.listFailedSince.IsZero() {
 		r.contact.listFailedSince = now
@@ -96,7 +96,11 @@
 // Listed handles a list that was requested from the worker at requestedAt. It returns the
 // actions to perform and whether there is something to report to the leader.
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
-	if r.worker == nil || list.Denied != "" || list.Incarnation != r.worker.Incarnation {
+	if r.worker != nil && list.Denied != "" {
+		r.ListFailed(now)
+		return nil, false
+	}
+	if r.worker == nil || list.Incarnation != r.worker.Incarnation {
 		return nil, false
 	}
 	r.updateClock(list.WorkerResponse, now)
