Send no start to a worker that has started again under its name

Callers saw a task that must run once run twice (TWICE).

An order names the incarnation that it is for by the worker's name. A worker that starts again may keep its name, and until its report arrives the agent sends starts that were granted to the earlier incarnation, with deadlines on its clock. The new worker carries them out; the leader frees the same runs once the report opens a new session and grants their tasks elsewhere. The agent had the proof in its hands: lists carry the start time, and the worker denies them as another incarnation.

After such a denial no start is admitted before the report of the new incarnation or a list of the old one; the run ends as not started. A start that is in flight when the worker restarts, or that reaches an idle worker before its first list, is not covered.

--- a/internal/agent/runner/contact.go
+++ b/internal/agent/runner/contact.go
@@ -9,6 +9,7 @@
 	lastResponse    time.Time // last response to an order, initially the worker's first report
 	failedOrders    int       // orders without a response since lastResponse
 	lastFailure     time.Time // when the last of them failed
+	restarted       bool      // another incarnation has denied a request for a list
 }
 
 const (
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -245,6 +245,11 @@
 	if state == nil || state.phase != starting {
 		return 0, false
 	}
+	if r.contact.restarted {
+		// The leader still counts the run to the earlier incarnation and will free it.
+		r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "the worker has started again"}, now)
+		return 0, false
+	}
 	if r.worker.Draining || !now.Before(startBy) || !now.Before(r.leaseEnd) {
 		r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "the permit is over"}, now)
 		return 0, false
@@ -257,12 +262,6 @@
 	return r.workerTime(end), true
 }
 
-// LeaseLeft returns how long the lease lasts after now; it is negative once the lease is over.
-func (r *Runner) LeaseLeft(now time.Time) time.Duration { return r.leaseEnd.Sub(now) }
-
-// ClockAge returns the age of the latest reading of the worker's clock.
-func (r *Runner) ClockAge(now time.Time) time.Duration { return now.Sub(r.clockAt) }
-
 // Started handles the result of a start and returns the actions to perform: a spare run gets its
 // pace.
 func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) []Action {
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// LeaseLeft returns how long the lease lasts after now; it is negative once the lease is over.
+func (r *Runner) LeaseLeft(now time.Time) time.Duration { return r.leaseEnd.Sub(now) }
+
+// ClockAge returns the age of the latest reading of the worker's clock.
+func (r *Runner) ClockAge(now time.Time) time.Duration { return now.Sub(r.clockAt) }
+
 // workerTime converts a time to the worker's clock. The result is early: the reading was
 // taken before it arrived, and a margin covers a slow clock.
 func (r *Runner) workerTime(t time.Time) time.Duration {
@@ -98,13 +104,14 @@
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
 	if r.worker != nil && list.Denied != "" {
 		r.ListFailed(now)
+		r.contact.restarted = r.contact.restarted || list.Denied == jaygw.DeniedIncarnation
 		return nil, false
 	}
 	if r.worker == nil || list.Incarnation != r.worker.Incarnation {
 		return nil, false
 	}
 	r.updateClock(list.WorkerResponse, now)
-	r.lastList, r.contact.listFailedSince = now, time.Time{}
+	r.lastList, r.contact.listFailedSince, r.contact.restarted = now, time.Time{}, false
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
