Stop starts that reached a restarted worker before reporting it

Runs of real processes with a worker that restarts under its name showed it: run 1, granted 23 ms before the worker was up again, was at work on the later incarnation when the session of that incarnation freed it, and run 2 was granted and started elsewhere.

An order names its incarnation by the worker's name only, so a start for the earlier incarnation can be carried out by the later one until that one reports itself. The report then opens a session that ends all runs of the earlier incarnation at the leader.

Failed before, TestStartReachesLaterIncarnation (go test ./internal/agent/poller): An error is expected but got nil. (the later incarnation runs it)

The agent now accepts the report of a later incarnation with the same name only after it has stopped the runs that it ordered and that the earlier incarnation never listed, and the later one does not list them as running. A worker never starts a run that was stopped, so an order that is still on its way does not count either. Until then the session, the lease and the placed runs stay as they are, no start is admitted, and the worker repeats its report.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/pacer"
 	"github.com/jaygw/jaygw/internal/agent/runner"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -84,6 +86,46 @@
 	notify(a.listDue)
 }
 
+// stopRunsOfEarlier stops the runs whose orders were for the earlier incarnation and may have reached
+// the later one. The leader frees them once the later incarnation is reported, so they must not run then.
+func (a *Poller) stopRunsOfEarlier(ctx context.Context, later jaygw.WorkerIncarnation) error {
+	a.mu.Lock()
+	runs := a.runner.Restarted(later)
+	fence := a.runner.Session()
+	a.mu.Unlock()
+	if len(runs) == 0 {
+		return nil
+	}
+	a.log.WithFields(logrus.Fields{
+		"worker": later.Name, "born": int64(later.StartTime), "session": fence, "runs": len(runs),
+	}).Info("agent: worker restarted with starts unlisted")
+	for _, run := range runs {
+		reply, err := a.worker.Stop(ctx, later, run, fence)
+		if err != nil {
+			return eris.Wrap(err, "stop a run of the earlier incarnation")
+		}
+		if reply.Denied != "" && reply.Denied != jaygw.DeniedStale {
+			return eris.Errorf("the worker refuses to stop a run of its earlier incarnation: %s", reply.Denied)
+		}
+	}
+	for {
+		list, err := a.worker.ExtendLease(ctx, later, jaygw.LeaseExtension{Fence: fence})
+		if err != nil {
+			return eris.Wrap(err, "list the runs of the earlier incarnation")
+		}
+		if list.Denied != "" {
+			return eris.Errorf("the worker refuses to list its runs: %s", list.Denied)
+		}
+		if !slices.ContainsFunc(list.Running, func(r jaygw.RunningRun) bool { return slices.Contains(runs, r.Run) }) {
+			return nil
+		}
+		sleep(ctx, listPause)
+		if ctx.Err() != nil {
+			return eris.Errorf("the worker still runs what its earlier incarnation was ordered to start")
+		}
+	}
+}
+
 func (a *Poller) pace(ctx context.Context, pace pacer.Pace) {
 	a.mu.Lock()
 	incarnation, fence := a.incarnation()
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -123,6 +123,9 @@
 		if list.Denied == jaygw.DeniedIncarnation || list.Incarnation != (jaygw.WorkerIncarnation{}) && list.Incarnation != w.Incarnation {
 			return eris.Errorf("the worker has another life than %s", w.Incarnation.Name)
 		}
+		if err := a.stopRunsOfEarlier(ctx, w.Incarnation); err != nil {
+			return err
+		}
 	}
 	a.mu.Lock()
 	changed := a.runner.Report(w, clock, a.now())
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -97,3 +97,28 @@
 	require.Equal(t, true, decided.Data["admitted"])
 	require.Equal(t, "4s", decided.Data["lease-left"])
 }
+
+// TestStartReachesLaterIncarnation guards against a run that the leader frees and grants elsewhere although
+// the worker runs it: its order has reached the worker's later incarnation, which has the same name.
+func TestStartReachesLaterIncarnation(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{started: make(chan jaygw.WorkerStart, 1), release: make(chan jaygw.WorkerResponse, 1)}
+	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
+	now := time.Unix(1000, 0)
+	leader := leaderFunc(func(jaygw.PollRequest) jaygw.PollResponse {
+		return jaygw.PollResponse{Session: 7, Lease: time.Second, Starts: []jaygw.StartOrder{{Run: run, ValidFor: time.Second}}}
+	})
+	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)), WithClock(func() time.Time { return now }))
+	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
+	worker.release <- jaygw.WorkerResponse{Clock: time.Second}
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	a.goroutines.Wait()
+	worker.running = []jaygw.RunningRun{{Run: run}}
+	later := worker.restart(20, time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	require.Error(t, a.Heartbeat(ctx, later, time.Second), "the later incarnation runs it")
+	require.Equal(t, 1, worker.stops)
+	worker.running = nil
+	require.NoError(t, a.Heartbeat(t.Context(), later, time.Second))
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -50,6 +50,7 @@
 		resumed     bool // whether it was started from a checkpoint; true if unknown
 		progress    int
 		checkpoint  string
+		listed      bool      // whether the worker has listed it
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
 	}
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// Restarted handles the certainty that the worker has started again, before the report of its later
+// incarnation. No further start is admitted. It returns the runs that the later incarnation may have
+// because it has the same name: those that the earlier one has not listed.
+func (r *Runner) Restarted(later jaygw.WorkerIncarnation) []jaygw.Run {
+	if r.worker == nil || r.worker.Incarnation == later {
+		return nil
+	}
+	r.contact.restarted = true
+	var runs []jaygw.Run
+	for _, id := range r.sortedRuns() {
+		if state := r.runs[id]; r.worker.Incarnation.Name == later.Name && !state.listed && state.phase != ended {
+			runs = append(runs, id)
+		}
+	}
+	return runs
+}
+
 // LeaseLeft returns how long the lease lasts after now; it is negative once the lease is over.
 func (r *Runner) LeaseLeft(now time.Time) time.Duration { return r.leaseEnd.Sub(now) }
 
@@ -196,6 +213,7 @@
 		r.runs[id] = state
 	}
 	delete(r.settled, id)
+	state.listed = true
 	r.markEnded(state, listedEnd.End, now)
 	return true
 }
@@ -206,9 +224,10 @@
 	state := r.runs[listedRun.Run]
 	if state == nil {
 		delete(r.settled, listedRun.Run)
-		r.runs[listedRun.Run] = &run{phase: running, since: now, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
+		r.runs[listedRun.Run] = &run{phase: running, since: now, listed: true, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
 		return true
 	}
+	state.listed = true
 	state.progress, state.tailLatency, state.usedCPU = listedRun.Percent, listedRun.TailLatency, listedRun.UsedCPU
 	if listedRun.Checkpoint != "" {
 		state.checkpoint = listedRun.Checkpoint
