Commit the ends of an earlier incarnation before its other runs are freed

Callers saw a task start again after a run of it was done (TWICE).

When the worker reported a new incarnation, the agent dropped the ends that the earlier one had listed and the leader had not recorded. And where a poll carries ends and opens a session, the session came first: it ended the same runs as lost, and their tasks could be granted again before the ends were committed, which were then ignored ("the task has had a later run").

Failed before: ends-of-earlier-incarnation.script:13 (go test -run TestScripts ./internal/agent/runner): extra elements in list A: run:0/1 ended:0/1:done TestEndsBeforeSession (go test ./internal/schedule/orchestrator): should have 2 item(s), but has 1

The agent reports such ends with the new incarnation, and the leader commits the ends of a poll before it opens the session.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -3,6 +3,7 @@
 package runner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -116,11 +117,13 @@
 func (r *Runner) Session() uint64 { return r.session }
 
 // Report handles a report of the worker's state; clock is the reading of the worker's clock in the
-// report. A new incarnation resets the state, because the runs of the earlier one have ended.
+// report. A new incarnation resets the state, because the runs of the earlier one have ended; ends
+// that the leader has not recorded are still reported.
 // Report returns whether the leader should be notified immediately.
 func (r *Runner) Report(w jaygw.PoolWorker, clock time.Duration, now time.Time) bool {
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
-		r.runs, r.pacer = map[jaygw.Run]*run{}, pacer.New()
+		maps.DeleteFunc(r.runs, func(_ jaygw.Run, state *run) bool { return state.phase != ended })
+		r.pacer = pacer.New()
 		r.ends, r.recordedThrough, r.session = nil, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -61,6 +61,13 @@
 		defer o.mu.Unlock()
 		delete(o.opening, request.VM)
 	}()
+	if ends := endsBeforeSession(request); ends != nil {
+		result, err := o.replica.Propose(ctx, *ends)
+		if err != nil {
+			return err
+		}
+		o.reportEnds(request, result)
+	}
 	result, err := o.replica.Propose(ctx, *command)
 	if err != nil {
 		return err
@@ -95,6 +102,16 @@
 	}}, nil
 }
 
+// endsBeforeSession returns the command that commits the ends that a poll reports before the poll opens
+// a session, or nil. The session ends the other runs of an earlier incarnation: a run that is done would
+// be granted again before its end is committed.
+func endsBeforeSession(request jaygw.PollRequest) *jaygw.Command {
+	if len(request.Ended) == 0 {
+		return nil
+	}
+	return &jaygw.Command{EndRuns: &jaygw.EndRuns{VM: request.VM, Ended: request.Ended}}
+}
+
 // isLate reports whether a poll of a superseded process may have been sent before its session was
 // superseded.
 func (t *vmTable) isLate(request jaygw.PollRequest, session *registrar.Session) bool {
--- a/internal/schedule/orchestrator/session_test.go
+++ b/internal/schedule/orchestrator/session_test.go
@@ -1,9 +1,12 @@
 package orchestrator
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/stretchr/testify/require"
 )
 
@@ -62,3 +65,33 @@
 	require.Equal(t, maxLatePolls+1, polls)
 	require.Greater(t, h.poll("a", by(1, 10, 30)).Session, session)
 }
+
+// recordingReplica records the proposed commands.
+type recordingReplica struct {
+	jaygw.Control
+	machine  *applier.Machine
+	proposed []jaygw.Command
+}
+
+func (r *recordingReplica) Read(fn func(*applier.Machine)) { fn(r.machine) }
+
+func (r *recordingReplica) Propose(_ context.Context, command jaygw.Command) (jaygw.Result, error) {
+	r.proposed = append(r.proposed, command)
+	return jaygw.Result{}, nil
+}
+
+// TestEndsBeforeSession guards against a run that is done and starts again because the session of the
+// worker's next incarnation has freed it before its end was committed.
+func TestEndsBeforeSession(t *testing.T) {
+	replica := &recordingReplica{machine: applier.New("g")}
+	o := New()
+	o.SetReplica(replica)
+	o.SetLeadership(1, true, time.Now())
+	done := jaygw.EndedRun{Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}, Outcome: jaygw.RunDone}
+	require.NoError(t, o.openSession(t.Context(), jaygw.PollRequest{
+		VM: "a", Process: 1, Sequence: 1, Ended: []jaygw.EndedRun{done}, Worker: &jaygw.PoolWorker{Incarnation: jaygw.WorkerIncarnation{Name: "a"}},
+	}))
+	require.Len(t, replica.proposed, 2)
+	require.Equal(t, []jaygw.EndedRun{done}, replica.proposed[0].EndRuns.Ended)
+	require.NotNil(t, replica.proposed[1].OpenSession)
+}
