Report ends of starts that a restarted worker carried out

Callers saw a task start again after a run of it was done (TWICE): a start for the earlier incarnation was carried out and ended by the later one with the same name before the later one was reported. Its end reached the leader after the run was freed and granted again, and was ignored.

Failed before, TestStartReachesLaterIncarnation (go test ./internal/agent/poller): Not equal: expected: []jaygw.EndedRun{... Outcome:"done"} actual: []jaygw.EndedRun(nil)

The lists that the agent reads before it accepts the report of the later incarnation also show ends. Those of runs that the earlier one never listed are now reported with the poll that opens the session.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -116,6 +116,9 @@
 		if list.Denied != "" {
 			return eris.Errorf("the worker refuses to list its runs: %s", list.Denied)
 		}
+		a.mu.Lock()
+		a.runner.EndUnlisted(list.Ended, a.now())
+		a.mu.Unlock()
 		if !slices.ContainsFunc(list.Running, func(r jaygw.RunningRun) bool { return slices.Contains(runs, r.Run) }) {
 			return nil
 		}
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -24,6 +24,7 @@
 		release     chan jaygw.WorkerResponse
 		stop        jaygw.WorkerResponse
 		running     []jaygw.RunningRun
+		ended       []jaygw.NumberedEnd
 		extension   jaygw.LeaseExtension // the last one
 		stops       int
 	}
@@ -47,7 +48,7 @@
 
 func (w *workerStub) ExtendLease(_ context.Context, _ jaygw.WorkerIncarnation, extension jaygw.LeaseExtension) (jaygw.RunList, error) {
 	w.extension = extension
-	return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock}, Incarnation: w.incarnation, Running: w.running}, nil
+	return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock}, Incarnation: w.incarnation, Running: w.running, Ended: w.ended}, nil
 }
 
 func (w *workerStub) SetPace(context.Context, jaygw.WorkerIncarnation, jaygw.Run, int, uint64) (jaygw.WorkerResponse, error) {
@@ -105,7 +106,9 @@
 	worker := &workerStub{started: make(chan jaygw.WorkerStart, 1), release: make(chan jaygw.WorkerResponse, 1)}
 	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
 	now := time.Unix(1000, 0)
-	leader := leaderFunc(func(jaygw.PollRequest) jaygw.PollResponse {
+	var ended []jaygw.EndedRun
+	leader := leaderFunc(func(request jaygw.PollRequest) jaygw.PollResponse {
+		ended = request.Ended
 		return jaygw.PollResponse{Session: 7, Lease: time.Second, Starts: []jaygw.StartOrder{{Run: run, ValidFor: time.Second}}}
 	})
 	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)), WithClock(func() time.Time { return now }))
@@ -119,6 +122,9 @@
 	defer cancel()
 	require.Error(t, a.Heartbeat(ctx, later, time.Second), "the later incarnation runs it")
 	require.Equal(t, 1, worker.stops)
-	worker.running = nil
+	done := jaygw.EndedRun{Run: run, Outcome: jaygw.RunDone}
+	worker.running, worker.ended = nil, []jaygw.NumberedEnd{{Number: 1, End: done}}
 	require.NoError(t, a.Heartbeat(t.Context(), later, time.Second))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	require.Equal(t, []jaygw.EndedRun{done}, ended, "the end is reported before the leader frees the run")
 }
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -78,6 +78,16 @@
 	return runs
 }
 
+// EndUnlisted handles ends that the later incarnation lists before its report is accepted. Those of
+// unlisted runs count for the earlier one, to which the leader has granted them.
+func (r *Runner) EndUnlisted(ends []jaygw.NumberedEnd, now time.Time) {
+	for _, listed := range ends {
+		if state := r.runs[listed.End.Run]; state != nil && !state.listed && state.phase != ended {
+			r.markEnded(state, listed.End, now)
+		}
+	}
+}
+
 // LeaseLeft returns how long the lease lasts after now; it is negative once the lease is over.
 func (r *Runner) LeaseLeft(now time.Time) time.Duration { return r.leaseEnd.Sub(now) }
 
