--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/pacer"
 	"github.com/jaygw/jaygw/internal/agent/runner"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -27,9 +29,16 @@
 
 func (a *Poller) start(ctx context.Context, order jaygw.StartOrder, startBy time.Time) {
 	a.mu.Lock()
-	deadline, ok := a.runner.Admit(order.Run, startBy, a.now())
+	now := a.now()
+	deadline, ok := a.runner.Admit(order.Run, startBy, now)
 	incarnation, fence := a.incarnation()
+	leaseLeft, clockAge := a.runner.LeaseLeft(now), a.runner.ClockAge(now)
 	a.mu.Unlock()
+	a.log.WithFields(logrus.Fields{
+		"task": order.Run.Task.String(), "run": order.Run.Number, "admitted": ok, "session": fence,
+		"worker": incarnation.Name, "born": int64(incarnation.StartTime), "permit-left": startBy.Sub(now).String(),
+		"lease-left": leaseLeft.String(), "clock-age": clockAge.String(), "deadline": deadline.String(), "checkpoint": order.Checkpoint,
+	}).Info("agent: start decided")
 	if !ok {
 		notify(a.reportReady)
 		return
@@ -77,6 +86,49 @@
 	notify(a.listDue)
 }
 
+// stopRunsOfEarlier stops the runs whose orders were for the earlier incarnation and may have reached
+// the later one. The leader frees them once the later incarnation is reported, so they must not run then.
+func (a *Poller) stopRunsOfEarlier(ctx context.Context, later jaygw.WorkerIncarnation) error {
+	a.mu.Lock()
+	runs := a.runner.Restarted(later)
+	fence := a.runner.Session()
+	a.mu.Unlock()
+	if len(runs) == 0 {
+		return nil
+	}
+	a.log.WithFields(logrus.Fields{
+		"worker": later.Name, "born": int64(later.StartTime), "session": fence, "runs": len(runs),
+	}).Info("agent: worker restarted with starts unlisted")
+	for _, run := range runs {
+		reply, err := a.worker.Stop(ctx, later, run, fence)
+		if err != nil {
+			return eris.Wrap(err, "stop a run of the earlier incarnation")
+		}
+		if reply.Denied != "" && reply.Denied != jaygw.DeniedStale {
+			return eris.Errorf("the worker refuses to stop a run of its earlier incarnation: %s", reply.Denied)
+		}
+	}
+	for {
+		list, err := a.worker.ExtendLease(ctx, later, jaygw.LeaseExtension{Fence: fence})
+		if err != nil {
+			return eris.Wrap(err, "list the runs of the earlier incarnation")
+		}
+		if list.Denied != "" {
+			return eris.Errorf("the worker refuses to list its runs: %s", list.Denied)
+		}
+		a.mu.Lock()
+		a.runner.EndUnlisted(list.Ended, a.now())
+		a.mu.Unlock()
+		if !slices.ContainsFunc(list.Running, func(r jaygw.RunningRun) bool { return slices.Contains(runs, r.Run) }) {
+			return nil
+		}
+		sleep(ctx, listPause)
+		if ctx.Err() != nil {
+			return eris.Errorf("the worker still runs what its earlier incarnation was ordered to start")
+		}
+	}
+}
+
 func (a *Poller) pace(ctx context.Context, pace pacer.Pace) {
 	a.mu.Lock()
 	incarnation, fence := a.incarnation()
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -123,6 +123,9 @@
 		if list.Denied == jaygw.DeniedIncarnation || list.Incarnation != (jaygw.WorkerIncarnation{}) && list.Incarnation != w.Incarnation {
 			return eris.Errorf("the worker has another life than %s", w.Incarnation.Name)
 		}
+		if err := a.stopRunsOfEarlier(ctx, w.Incarnation); err != nil {
+			return err
+		}
 	}
 	a.mu.Lock()
 	changed := a.runner.Report(w, clock, a.now())
@@ -293,7 +296,11 @@
 		a.mu.Unlock()
 		return err
 	}
-	actions, changed := a.runner.Listed(list, start, a.now())
+	var actions []runner.Action
+	changed := false
+	if a.isCurrent(incarnation) {
+		actions, changed = a.runner.Listed(list, start, a.now())
+	}
 	a.mu.Unlock()
 	a.perform(ctx, actions)
 	if changed {
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -24,6 +24,7 @@
 		release     chan jaygw.WorkerResponse
 		stop        jaygw.WorkerResponse
 		running     []jaygw.RunningRun
+		ended       []jaygw.NumberedEnd
 		extension   jaygw.LeaseExtension // the last one
 		stops       int
 	}
@@ -47,7 +48,7 @@
 
 func (w *workerStub) ExtendLease(_ context.Context, _ jaygw.WorkerIncarnation, extension jaygw.LeaseExtension) (jaygw.RunList, error) {
 	w.extension = extension
-	return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock}, Incarnation: w.incarnation, Running: w.running}, nil
+	return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock}, Incarnation: w.incarnation, Running: w.running, Ended: w.ended}, nil
 }
 
 func (w *workerStub) SetPace(context.Context, jaygw.WorkerIncarnation, jaygw.Run, int, uint64) (jaygw.WorkerResponse, error) {
@@ -63,7 +64,7 @@
 // which let the later one carry out an order long after it was given.
 func TestReplyOfEarlierIncarnation(t *testing.T) {
 	const lease = 4 * time.Second
-	log, _ := logtest.NewNullLogger()
+	log, logged := logtest.NewNullLogger()
 	worker := &workerStub{started: make(chan jaygw.WorkerStart), release: make(chan jaygw.WorkerResponse)}
 	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
 	session := uint64(7)
@@ -86,4 +87,44 @@
 	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
 	require.NoError(t, a.listRuns(t.Context(), 0))
 	require.LessOrEqual(t, worker.extension.Deadline, time.Second+lease)
+	var decided *logrus.Entry
+	for _, entry := range logged.AllEntries() {
+		if entry.Message == "agent: start decided" {
+			require.Nil(t, decided, "one line for each start")
+			decided = entry
+		}
+	}
+	require.NotNil(t, decided)
+	require.Equal(t, true, decided.Data["admitted"])
+	require.Equal(t, "4s", decided.Data["lease-left"])
+}
+
+// TestStartReachesLaterIncarnation guards against a run that the leader frees and grants elsewhere although
+// the worker runs it: its order has reached the worker's later incarnation, which has the same name.
+func TestStartReachesLaterIncarnation(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{started: make(chan jaygw.WorkerStart, 1), release: make(chan jaygw.WorkerResponse, 1)}
+	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
+	now := time.Unix(1000, 0)
+	var ended []jaygw.EndedRun
+	leader := leaderFunc(func(request jaygw.PollRequest) jaygw.PollResponse {
+		ended = request.Ended
+		return jaygw.PollResponse{Session: 7, Lease: time.Second, Starts: []jaygw.StartOrder{{Run: run, ValidFor: time.Second}}}
+	})
+	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)), WithClock(func() time.Time { return now }))
+	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
+	worker.release <- jaygw.WorkerResponse{Clock: time.Second}
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	a.goroutines.Wait()
+	worker.running = []jaygw.RunningRun{{Run: run}}
+	later := worker.restart(20, time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	require.Error(t, a.Heartbeat(ctx, later, time.Second), "the later incarnation runs it")
+	require.Equal(t, 1, worker.stops)
+	done := jaygw.EndedRun{Run: run, Outcome: jaygw.RunDone}
+	worker.running, worker.ended = nil, []jaygw.NumberedEnd{{Number: 1, End: done}}
+	require.NoError(t, a.Heartbeat(t.Context(), later, time.Second))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	require.Equal(t, []jaygw.EndedRun{done}, ended, "the end is reported before the leader frees the run")
 }
