Try every address of the control group, and follow the leader that is named

Cause: after a failed query the client selected the next address twice, once in the call and once before the next try, and the second time it also discarded the leader that the response had named. With an even number of addresses it tried every second one only, and went back and forth between a process without a replica and the member that had been removed.

A failure is now recorded once, for the address that was called, and the named leader is called next. A client whose calls fail takes the view that its process knows best, so that one beside a replica follows that replica.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -32,11 +32,12 @@
 
 		mu           sync.Mutex
 		seeds        []string
-		members      []string  // addresses to call: the known members, then the other seeds
-		current      int       // index of the member to call while the leader is unknown
-		leader       string    // address of the leader; empty if unknown
-		lastResponse time.Time // time of the last response without an error
-		lastLeader   time.Time // time of the last exchange of views with the leader
+		members      []string        // addresses to call: the known members, then the other seeds
+		current      int             // index of the member to call while the leader is unknown
+		leader       string          // address of the leader; empty if unknown
+		lastResponse time.Time       // time of the last response without an error
+		adopted      jaygw.GroupView // latest view of the locator that was used
+		lastLeader   time.Time       // time of the last exchange of views with the leader
 	}
 
 	// Option configures a Client.
@@ -81,7 +82,7 @@
 		if err == nil || command.Client == "" && !errors.Is(err, jaygw.ErrNotLeader) {
 			return result, err
 		}
-		if !c.pauseAndRotate(ctx) {
+		if !c.sleep(ctx, retryInterval) {
 			return jaygw.Result{}, err
 		}
 	}
@@ -89,16 +90,18 @@
 
 func (c *Client) proposeOnce(ctx context.Context, data []byte) (jaygw.Result, error) {
 	var result jaygw.Result
-	response, err := c.memberClient(ctx).Propose(ctx, &messenger.ProposeRequest{Group: c.group, Command: data})
-	if errors.Is(err, dialer.ErrUnreachable) {
-		return result, errors.Join(jaygw.ErrNotLeader, err)
-	}
+	group, address := c.memberClient(ctx)
+	response, err := group.Propose(ctx, &messenger.ProposeRequest{Group: c.group, Command: data})
 	if err != nil {
+		c.recordFailure(address, "")
+		if errors.Is(err, dialer.ErrUnreachable) {
+			return result, errors.Join(jaygw.ErrNotLeader, err)
+		}
 		return result, errors.Join(jaygw.ErrOutcomeUnknown, err)
 	}
 	if err := converter.ErrorFromCode(response.Error); err != nil {
 		c.addMembers(response.Members)
-		c.setLeader(response.LeaderAddress)
+		c.recordFailure(address, response.LeaderAddress)
 		return result, err
 	}
 	c.updateMembers(response.Members)
@@ -108,12 +111,13 @@
 
 // Renew sends the lease renewal of a VM.
 func (c *Client) Renew(ctx context.Context, renewal jaygw.Renewal) (jaygw.RenewalResult, error) {
-	response, err := c.memberClient(ctx).Renew(ctx, converter.RenewRequest(renewal))
+	group, address := c.memberClient(ctx)
+	response, err := group.Renew(ctx, converter.RenewRequest(renewal))
 	if err == nil {
 		err = converter.ErrorFromCode(response.Error)
 	}
 	if err != nil {
-		c.rotate()
+		c.recordFailure(address, "")
 		return jaygw.RenewalResult{}, eris.Wrap(err, "renew")
 	}
 	c.updateMembers(response.Members)
@@ -125,14 +129,15 @@
 // older term or index is rejected with ErrNotConfirmed.
 func (c *Client) Watch(ctx context.Context, node string, seen jaygw.View, hold time.Duration) (jaygw.View, error) {
 	view := seen
-	response, err := c.memberClient(ctx).Watch(ctx, &messenger.WatchRequest{
+	group, address := c.memberClient(ctx)
+	response, err := group.Watch(ctx, &messenger.WatchRequest{
 		Group: c.group, Node: node, Term: seen.Term, Index: uint64(seen.Index), Revision: seen.Revision, HoldNanos: int64(hold),
 	})
 	if err == nil {
 		err = converter.ErrorFromCode(response.Error)
 	}
 	if err != nil {
-		c.rotate()
+		c.recordFailure(address, "")
 		return view, eris.Wrap(err, "watch")
 	}
 	c.updateMembers(response.Members)
@@ -149,37 +154,32 @@
 }
 
 // memberClient returns a client of the leader, or of the current member if the leader is
-// unknown.
-func (c *Client) memberClient(ctx context.Context) messenger.DRPCGroupClient {
+// unknown, and its address.
+func (c *Client) memberClient(ctx context.Context) (messenger.DRPCGroupClient, string) {
 	c.mu.Lock()
 	address := c.leader
 	if address == "" {
 		address = c.members[c.current%len(c.members)]
 	}
 	c.mu.Unlock()
-	return messenger.NewDRPCGroupClient(c.dialer.Conn(ctx, address))
-}
-
-// pauseAndRotate selects the next member and waits for the retry interval. It returns false
-// if the context has ended.
-func (c *Client) pauseAndRotate(ctx context.Context) bool {
-	c.rotate()
-	timer := time.NewTimer(retryInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return messenger.NewDRPCGroupClient(c.dialer.Conn(ctx, address)), address
 }
 
-// rotate selects the next member and discards the known leader.
-func (c *Client) rotate() {
+// recordFailure records that a call to an address has failed. The next call goes to the leader that the
+// response named, or to the next member. Several calls may fail at an address at the same time; only
+// one of them selects the next member, so that none is skipped.
+func (c *Client) recordFailure(address, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current++
-	c.leader = ""
+	if c.leader == address {
+		c.leader = ""
+	}
+	if c.members[c.current%len(c.members)] == address {
+		c.current++
+	}
+	if leader != "" && leader != address {
+		c.leader = leader
+	}
 }
 
 // setLeader sets the leader that a response has reported, which receives the next calls.
--- a/internal/control/client/locate.go
+++ b/internal/control/client/locate.go
@@ -129,9 +129,7 @@
 				return
 			}
 			now := time.Now()
-			if c.locator.HandleResponse(address, response, now) {
-				c.adopt(address, response.View, now)
-			}
+			c.locator.HandleResponse(address, response, now)
 			if response.View.Leader == address {
 				c.mu.Lock()
 				c.lastLeader = now
@@ -140,6 +138,7 @@
 		})
 	}
 	calls.Wait()
+	c.adopt(c.locator.View(), time.Now())
 }
 
 func (c *Client) locateOnce(ctx context.Context, address string, request jaygw.LocateRequest) (jaygw.LocateResponse, error) {
@@ -160,20 +159,24 @@
 	return result, encoder.Unmarshal(response.Body, &result)
 }
 
-// adopt uses the members and the leader of a view that is newer than the known one, unless the
+// adopt uses the members and the leader of a view that is newer than the adopted one, unless the
 // members known so far respond.
-func (c *Client) adopt(from string, view jaygw.GroupView, now time.Time) {
+func (c *Client) adopt(view jaygw.GroupView, now time.Time) {
 	if c.hasResponse(now) {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := c.leader != view.Leader
+	if len(view.Members) == 0 || view.Commit == c.adopted.Commit && view.Leader == c.adopted.Leader {
+		return
+	}
+	changed := view.Leader != c.adopted.Leader || !slices.Equal(view.Members, c.adopted.Members)
+	c.adopted = view
 	c.replaceMembers(view.Members)
 	c.leader = view.Leader
 	if changed {
 		c.log.WithFields(logrus.Fields{
-			"from": from, "commit": view.Commit, "leader": view.Leader, "members": view.Members, "last-response": c.lastResponse,
+			"commit": view.Commit, "leader": view.Leader, "members": view.Members, "last-response": c.lastResponse,
 		}).Info("client: group located")
 	}
 }
--- a/internal/control/client/workflows.go
+++ b/internal/control/client/workflows.go
@@ -36,7 +36,7 @@
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		err := c.call(attempt, messenger.DRPCGroupClient.Query, query, &result)
 		cancel()
-		if err == nil || !c.pauseAndRotate(ctx) {
+		if err == nil || !c.sleep(ctx, retryInterval) {
 			return result, err
 		}
 	}
@@ -63,7 +63,7 @@
 			return result, nil
 		}
 		outcomeUnknown = outcomeUnknown || !errors.Is(err, jaygw.ErrNotLeader)
-		if (outcomeUnknown || time.Since(start) < waitLimit) && c.pauseAndRotate(ctx) {
+		if (outcomeUnknown || time.Since(start) < waitLimit) && c.sleep(ctx, retryInterval) {
 			continue
 		}
 		if outcomeUnknown {
@@ -81,17 +81,19 @@
 	if err != nil {
 		return err
 	}
-	response, err := send(c.memberClient(ctx), ctx, &messenger.CallRequest{Group: c.group, Body: body})
+	group, address := c.memberClient(ctx)
+	response, err := send(group, ctx, &messenger.CallRequest{Group: c.group, Body: body})
 	if err != nil {
-		c.rotate()
+		c.recordFailure(address, "")
 		return err
 	}
 	if err := converter.ErrorFromCode(response.Error); err != nil {
 		c.addMembers(response.Members)
-		c.rotate()
-		if !errors.Is(err, jaygw.ErrNotConfirmed) {
-			c.setLeader(response.Leader)
+		leader := response.Leader
+		if errors.Is(err, jaygw.ErrNotConfirmed) {
+			leader = ""
 		}
+		c.recordFailure(address, leader)
 		return err
 	}
 	c.updateMembers(response.Members)
--- a/internal/control/client/workflows_test.go
+++ b/internal/control/client/workflows_test.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// Query responds like Propose, with a catalog of the number 7 if the proposal is accepted.
+func (m *member) Query(ctx context.Context, _ *messenger.CallRequest) (*messenger.CallResponse, error) {
+	response, err := m.Propose(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	body, err := encoder.Marshal(jaygw.WorkflowQueryResult{Number: 7})
+	return &messenger.CallResponse{Error: response.Error, Body: body, Members: response.Members, Leader: response.LeaderAddress}, err
+}
+
 func serve(t *testing.T) (*member, string) {
 	t.Helper()
 	m := &member{responses: make(chan func() (*messenger.ProposeResponse, error), 8)}
--- a/internal/control/locator/locator.go
+++ b/internal/control/locator/locator.go
@@ -135,9 +135,8 @@
 	return response
 }
 
-// HandleResponse records the response of a control process. It returns whether its view was newer than
-// the known one.
-func (l *Locator) HandleResponse(from string, response jaygw.LocateResponse, now time.Time) bool {
+// HandleResponse records the response of a control process.
+func (l *Locator) HandleResponse(from string, response jaygw.LocateResponse, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordPeer(from, now)
@@ -146,7 +145,7 @@
 			l.recordPeer(peer, now.Add(-hearsayAge))
 		}
 	}
-	return l.learn(response.View)
+	l.learn(response.View)
 }
 
 // recordPeer records a contact with a control process. The table drops the entry with the oldest contact
