Remove the lost voter at an address before its successor votes

A replica that lost its disk and had caught up became a voter beside its lost identity: in a group of three that is two live voters and the new one of four, all three needed. If the same replica loses its disk again before the removal is committed, two of four are left: no quorum, for good, although one VM alone was lost. While the new voter is frozen or cut off in that moment, nothing commits either.

A learner that replaces the voter at its own address has taken that address, so the old identity is lost. It is now removed once the learner has caught up, and the learner becomes a voter after that: no step needs more than the live voters had to give before. Both are single changes, each of which keeps the quorums of before and after overlapping, and a removal that leaves no responsive majority is refused as always. A member that replaces one at another address still votes first, because that one may be alive.

Before: --- FAIL: TestDiskLostAgainWhileItsReplicaIsPromoted, members_test.go:59 member 2: role 1, leader 0, last 3, commit 2, voters [1 2 3 4] member 3: role 1, leader 0, last 3, commit 2, voters [1 2 3 4] Now it passes for a disk lost after each of the changes.

--- a/internal/control/replicator/members.go
+++ b/internal/control/replicator/members.go
@@ -165,7 +165,8 @@
 }
 
 // promoteLearners makes a learner that has caught up a voter, and then removes the member
-// that it replaces.
+// that it replaces. One at the learner's address has lost its disk, so it is removed first: as a
+// voter beside its successor it would raise the majority.
 func (c *Core) promoteLearners() {
 	current := c.log.membership()
 	if current.index > c.commit || c.commit < c.termStart {
@@ -182,6 +183,15 @@
 		if m.Voter || p == nil || p.match < c.commit || c.now-p.lastContact >= c.config.Election {
 			continue
 		}
+		if m.Replaces != 0 && slices.ContainsFunc(current.members, func(other jaygw.Member) bool {
+			return other.ID == m.Replaces && other.Address == m.Address && other.Voter
+		}) {
+			if remaining, err := c.withoutMember(current.members, m.Replaces); err == nil && remaining != nil {
+				c.append(Entry{Kind: MembersEntry, Members: remaining})
+				return
+			}
+			continue
+		}
 		members := slices.Clone(current.members)
 		members[i].Voter = true
 		if m.Replaces == 0 && c.config.RemoveUnresponsiveAfter != 0 && len(voters(members)) > c.requiredVoters() {
--- a/internal/control/replicator/members_test.go
+++ b/internal/control/replicator/members_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,29 @@
 	})
 }
 
+// TestDiskLostAgainWhileItsReplicaIsPromoted guards against a group that loses its quorum for good
+// because the same replica loses its disk again in the changes that make it a voter.
+func TestDiskLostAgainWhileItsReplicaIsPromoted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if !sample(t, 50) {
+			return
+		}
+		c := newHealthyCluster(t, 3)
+		first := c.wipe(c.nodes[c.leader().id%3])
+		require.NoError(t, c.join(first))
+		changes := rapid.IntRange(0, 3).Draw(t, "changes")
+		joined := len(c.leader().core.log.memberships)
+		c.runUntil(time.Second, func() bool { return len(c.leader().core.log.memberships) >= joined+changes })
+		second := c.wipe(first)
+		require.True(t, c.runUntil(10*time.Second, func() bool { return c.allVote(append(c.survivors(second), second)) }), "%s", c)
+	})
+}
+
+// survivors returns the running replicas except for one.
+func (c *cluster) survivors(except *node) []*node {
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return n.core == nil || n == except })
+}
+
 // TestMemberThatJoinsSoonAfterALossReplacesTheLostOne guards against a group that has a lost voter
 // beside the one that came in its place: with two more losses the rest is no majority.
 func TestMemberThatJoinsSoonAfterALossReplacesTheLostOne(t *testing.T) {
