--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -35,6 +35,7 @@
 		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
 		recordedThrough uint64                  // the leader has recorded all ends up to this number
 		lastList        time.Time               // time of the last list, initially of the worker's first report
+		adopted         bool                    // whether the worker has listed its runs, maybe some of an earlier agent process
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
 		contact         contact
 	}
@@ -48,10 +49,12 @@
 		tailLatency time.Duration
 		usedCPU     jaygw.MilliCores
 		resumed     bool // whether it was started from a checkpoint; true if unknown
+		inherited   bool // whether an earlier agent process may have started it
 		progress    int
 		checkpoint  string
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
+		endSequence uint64 // number of the latest poll when the end became known; later polls report it
 	}
 
 	numberedEnd struct {
@@ -121,8 +124,10 @@
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
 		r.runs, r.pacer = map[jaygw.Run]*run{}, pacer.New()
 		r.ends, r.recordedThrough, r.session = nil, 0, 0
+		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
+		r.adopted = false
 		r.worker = &w
 		return true
 	}
@@ -196,7 +201,7 @@
 		r.leaseEnd = end
 	}
 	for _, id := range result.Recorded {
-		r.settle(id, now)
+		r.settle(id, result.Sequence, now)
 	}
 	r.pacer.Learn(result.Effects)
 	for _, t := range result.Traits {
@@ -224,14 +229,14 @@
 	if _, settled := r.settled[id]; settled || r.runs[id] != nil {
 		return nil
 	}
-	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != ""}
+	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != "", inherited: !r.adopted}
 	startBy := sent.Add(order.ValidFor)
 	if !now.Before(startBy) {
 		return nil // the next response carries a new permit
 	}
 	r.runs[id] = state
 	if r.worker.Draining {
-		r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "the worker drains"}, now)
+		r.giveUp(id, state, "the worker drains", now)
 		return nil
 	}
 	return &Action{Start: &order, StartBy: startBy}
@@ -245,7 +250,7 @@
 		return 0, false
 	}
 	if r.worker.Draining || !now.Before(startBy) || !now.Before(r.leaseEnd) {
-		r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "the permit is over"}, now)
+		r.giveUp(id, state, "the permit is over", now)
 		return 0, false
 	}
 	end := now.Add(startWindow)
@@ -265,12 +270,10 @@
 		return nil
 	}
 	switch {
-	case err != nil || reply.Denied == jaygw.DeniedStale:
+	case err != nil || reply.Denied == jaygw.DeniedStale || reply.Denied == jaygw.DeniedFence:
 		state.phase, state.since = startUnknown, now
 	case reply.Denied != "":
-		r.markEnded(state, jaygw.EndedRun{
-			Run: id, Outcome: jaygw.RunNotStarted, Reason: "refused by the worker: " + string(reply.Denied),
-		}, now)
+		r.giveUp(id, state, "refused by the worker: "+string(reply.Denied), now)
 	default:
 		state.phase, state.since = running, now
 		return paceActions(r.pacer.DecideNew(r.observations(), now))
@@ -293,14 +296,15 @@
 	return &Action{Stop: &id}
 }
 
-// Stopped handles the result of a stop. A stop without a response is sent again.
+// Stopped handles the result of a stop. A stop that has no response or was denied is sent again,
+// unless the worker has stopped or ended the run already.
 func (r *Runner) Stopped(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) {
 	r.recordResponse(reply, err, now)
 	state := r.runs[id]
 	if state == nil || state.phase != stopping {
 		return
 	}
-	if err != nil || reply.Denied == jaygw.DeniedUnhealthy {
+	if err != nil || reply.Denied != "" && reply.Denied != jaygw.DeniedStale {
 		state.retryStopAt = now.Add(stopRetry)
 		return
 	}
@@ -343,13 +347,14 @@
 
 // markEnded ends a run. The end is reported until the leader has recorded it.
 func (r *Runner) markEnded(state *run, end jaygw.EndedRun, now time.Time) {
-	state.phase, state.since, state.end = ended, now, &end
+	state.phase, state.since, state.end, state.endSequence = ended, now, &end, r.sequence
 }
 
-// settle removes a run whose end the leader has recorded, and lets the worker discard it.
-func (r *Runner) settle(id jaygw.Run, now time.Time) {
+// settle removes a run whose end the leader has recorded, and lets the worker discard it. A response
+// to a poll that reported another end of the run, or none, does not settle it.
+func (r *Runner) settle(id jaygw.Run, sequence uint64, now time.Time) {
 	state := r.runs[id]
-	if state == nil || state.phase != ended {
+	if state == nil || state.phase != ended || sequence <= state.endSequence {
 		return
 	}
 	delete(r.runs, id)
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -69,6 +69,7 @@
 		Runs       int        // number of placed runs
 		Failures   int        // number of failed runs
 		FailedOn   []string   // VMs of the failed runs
+		FailedRuns []uint64   // numbers of the failed runs
 		LastVM     string     // VM of the latest run
 		Checkpoint string     // latest checkpoint, or empty
 		Released   jaygw.Time // time of the end of the latest run
@@ -91,6 +92,10 @@
 		Process uint64                  // number that the agent process has drawn at random
 		Life    jaygw.WorkerIncarnation // incarnation of the worker
 		Domain  string                  // failure domain of the VM
+		// Sequence is the sequence number of the poll that opened the session.
+		Sequence uint64 `cbor:",omitempty"`
+		// Superseded holds the latest agent processes that had sessions before, oldest first.
+		Superseded []uint64 `cbor:",omitempty"`
 	}
 
 	// Limits bounds the sizes of the tables.
@@ -106,6 +111,9 @@
 // can be queried, and a resent submission of it is acknowledged instead of accepted again.
 const retention = 10 * time.Minute
 
+// maxSuperseded bounds the superseded processes of a session.
+const maxSuperseded = 8
+
 // DefaultLimits returns limits with a margin of two over the target size.
 func DefaultLimits() Limits {
 	return Limits{Workflows: 50_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000}
