--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -3,6 +3,7 @@
 package runner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -52,6 +53,7 @@
 		inherited   bool // whether an earlier agent process may have started it
 		progress    int
 		checkpoint  string
+		listed      bool      // whether the worker has listed it
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
 		endSequence uint64 // number of the latest poll when the end became known; later polls report it
@@ -118,11 +120,13 @@
 func (r *Runner) Session() uint64 { return r.session }
 
 // Report handles a report of the worker's state; clock is the reading of the worker's clock in the
-// report. A new incarnation resets the state, because the runs of the earlier one have ended.
+// report. A new incarnation resets the state, because the runs of the earlier one have ended; ends
+// that the leader has not recorded are still reported.
 // Report returns whether the leader should be notified immediately.
 func (r *Runner) Report(w jaygw.PoolWorker, clock time.Duration, now time.Time) bool {
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
-		r.runs, r.pacer = map[jaygw.Run]*run{}, pacer.New()
+		maps.DeleteFunc(r.runs, func(_ jaygw.Run, state *run) bool { return state.phase != ended })
+		r.pacer = pacer.New()
 		r.ends, r.recordedThrough, r.session = nil, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
@@ -249,6 +253,11 @@
 	if state == nil || state.phase != starting {
 		return 0, false
 	}
+	if r.contact.restarted {
+		// The leader still counts the run to the earlier incarnation and will free it.
+		r.giveUp(id, state, "the worker has started again", now)
+		return 0, false
+	}
 	if r.worker.Draining || !now.Before(startBy) || !now.Before(r.leaseEnd) {
 		r.giveUp(id, state, "the permit is over", now)
 		return 0, false
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -67,6 +67,39 @@
 	}
 }
 
+// Restarted handles the certainty that the worker has started again, before the report of its later
+// incarnation. No further start is admitted. It returns the runs that the later incarnation may have
+// because it has the same name: those that the earlier one has not listed.
+func (r *Runner) Restarted(later jaygw.WorkerIncarnation) []jaygw.Run {
+	if r.worker == nil || r.worker.Incarnation == later {
+		return nil
+	}
+	r.contact.restarted = true
+	var runs []jaygw.Run
+	for _, id := range r.sortedRuns() {
+		if state := r.runs[id]; r.worker.Incarnation.Name == later.Name && !state.listed && state.phase != ended {
+			runs = append(runs, id)
+		}
+	}
+	return runs
+}
+
+// EndUnlisted handles ends that the later incarnation lists before its report is accepted. Those of
+// unlisted runs count for the earlier one, to which the leader has granted them.
+func (r *Runner) EndUnlisted(ends []jaygw.NumberedEnd, now time.Time) {
+	for _, listed := range ends {
+		if state := r.runs[listed.End.Run]; state != nil && !state.listed && state.phase != ended {
+			r.markEnded(state, listed.End, now)
+		}
+	}
+}
+
+// LeaseLeft returns how long the lease lasts after now; it is negative once the lease is over.
+func (r *Runner) LeaseLeft(now time.Time) time.Duration { return r.leaseEnd.Sub(now) }
+
+// ClockAge returns the age of the latest reading of the worker's clock.
+func (r *Runner) ClockAge(now time.Time) time.Duration { return now.Sub(r.clockAt) }
+
 // workerTime converts a time to the worker's clock. The result is early: the reading was
 // taken before it arrived, and a margin covers a slow clock.
 func (r *Runner) workerTime(t time.Time) time.Duration {
@@ -92,7 +125,7 @@
 	}
 }
 
-// ListFailed handles a request for a list that got no response.
+// ListFailed handles a request for a list that got no response or was denied.
 func (r *Runner) ListFailed(now time.Time) {
 	if r.contact.listFailedSince.IsZero() {
 		r.contact.listFailedSince = now
@@ -102,11 +135,17 @@
 // Listed handles a list that was requested from the worker at requestedAt. It returns the
 // actions to perform and whether there is something to report to the leader.
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
-	if r.worker == nil || list.Denied != "" || list.Incarnation != r.worker.Incarnation {
+	if r.worker != nil && list.Denied != "" {
+		r.ListFailed(now)
+		r.contact.restarted = r.contact.restarted || list.Denied == jaygw.DeniedIncarnation
+		return nil, false
+	}
+	if r.worker == nil || list.Incarnation != r.worker.Incarnation {
 		return nil, false
 	}
 	r.updateClock(list.WorkerResponse, now)
-	r.lastList, r.contact.listFailedSince, r.adopted = now, time.Time{}, true
+	r.lastList, r.contact.listFailedSince = now, time.Time{}
+	r.adopted, r.contact.restarted = true, false
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
@@ -191,6 +230,7 @@
 		r.runs[id] = state
 	}
 	delete(r.settled, id)
+	state.listed = true
 	r.markEnded(state, listedEnd.End, now)
 	return true
 }
@@ -201,9 +241,10 @@
 	state := r.runs[listedRun.Run]
 	if state == nil {
 		delete(r.settled, listedRun.Run)
-		r.runs[listedRun.Run] = &run{phase: running, since: now, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
+		r.runs[listedRun.Run] = &run{phase: running, since: now, listed: true, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
 		return true
 	}
+	state.listed = true
 	state.progress, state.tailLatency, state.usedCPU = listedRun.Percent, listedRun.TailLatency, listedRun.UsedCPU
 	if listedRun.Checkpoint != "" {
 		state.checkpoint = listedRun.Checkpoint
