--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -4,12 +4,10 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/pacer"
-	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
 type (
@@ -391,12 +389,3 @@
 		}
 	}
 }
-
-func (r *Runner) sortedRuns() []jaygw.Run {
-	ids := make([]jaygw.Run, 0, len(r.runs))
-	for id := range r.runs {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, registrar.CompareRuns)
-	return ids
-}
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/pacer"
+	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
 // Idle reports whether the worker need not be asked for a list: it responds and has no runs.
@@ -254,3 +255,12 @@
 	}
 	return false
 }
+
+func (r *Runner) sortedRuns() []jaygw.Run {
+	ids := make([]jaygw.Run, 0, len(r.runs))
+	for id := range r.runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, registrar.CompareRuns)
+	return ids
+}
