Ask the seeds of a first start without a data race

The seeds to ask are now collected before the first question is sent.

TestAnswersOfSeedsRace failed before with -race ("DATA RACE", askSeeds) and passes now.

--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -127,3 +128,16 @@
 	_, err := bootstrapper.Founders(ctx, t.TempDir(), seeds[0], seeds, true, seedGroup{seeds[1]: false}, logrus.New())
 	require.ErrorIs(t, err, context.DeadlineExceeded, "the seed that is down may be the only other voter")
 }
+
+// TestAnswersOfSeedsRace guards against a process that ends at its first start because the seeds respond
+// while others are still asked; the race detector reports it.
+func TestAnswersOfSeedsRace(t *testing.T) {
+	group, many := seedGroup{}, []string{}
+	for i := range 200 {
+		seed := fmt.Sprintf("10.0.1.%d:7720", i)
+		group[seed], many = true, append(many, seed)
+	}
+	founders, err := bootstrapper.Founders(t.Context(), t.TempDir(), many[0], many, true, group, logrus.New())
+	require.NoError(t, err)
+	require.Equal(t, many, founders)
+}
--- a/internal/control/bootstrapper/founders.go
+++ b/internal/control/bootstrapper/founders.go
@@ -60,10 +60,8 @@
 func askSeeds(ctx context.Context, seeds []string, replica map[string]bool, finder ReplicaFinder, log logrus.FieldLogger) {
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	for _, seed := range seeds {
-		if _, known := replica[seed]; known {
-			continue
-		}
+	pending := slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool { _, known := replica[seed]; return known })
+	for _, seed := range pending {
 		calls.Go(func() {
 			has, err := finder.HasReplica(ctx, seed)
 			if err != nil {
