Elect a leader on disks that are slow to store the votes

Callers saw a group that elects no leader at its first start, or after a power loss, while the disks of its replicas are slow: nothing is acknowledged and nothing is read.

Cause: a candidate waits 0.45 to 0.9 s for the votes, from before it stores its own, and a voter counts the time in which it stores its vote as time without a leader. Where that takes 0.3 s on three replicas, or 1 s on one of three whose votes are all required, the candidate gives up before the votes arrive, and a voter starts the next election in between; all repeat that with the same times.

A replica now restarts its wait after it has stored something, and the election time grows up to four times with elections that fail although a majority responds. Replicas that get no responses don't count, so that a group that was cut off elects as soon as before; after 9 s with one leader the time is the minimum.

--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -26,6 +26,9 @@
 	electionDeadline time.Duration   // end of the wait for a leader or for votes
 	leaderContact    time.Duration   // time of the last message from the leader
 	votes            map[uint64]bool // voters that granted their vote, and whether each is Verified
+	storing          bool            // the previous step's output had to be stored
+	failedElections  int             // elections without a lasting leader since the last one with
+	ledSince         time.Duration   // time from which on the present leader is known
 	incomingSnapshot *Snapshot
 
 	progress          map[uint64]*progress // replication progress of the other members, while leading
@@ -98,6 +101,9 @@
 	c.now = now
 	c.output = Output{}
 	role, term, leader, voteState := c.role, c.voteState.Term, c.leader, c.voteState
+	if c.storing && c.role != Leader {
+		c.resetElectionDeadline() // nothing could be received while the disk was written
+	}
 	if c.electionDeadline == 0 {
 		c.resetElectionDeadline()
 		if ids := voters(c.Members()); len(ids) == 1 && ids[0] == c.config.ID {
@@ -116,7 +122,13 @@
 		changed := c.voteState
 		c.output.VoteState = &changed
 	}
+	c.storing = c.output.VoteState != nil || c.output.Install != nil || len(c.output.Entries) > 0
 	c.output.Changed = role != c.role || term != c.voteState.Term || leader != c.leader
+	if c.output.Changed {
+		c.ledSince = c.now
+	} else if c.leader != 0 && c.now-c.ledSince >= lastingElections*c.config.Election {
+		c.failedElections = 0
+	}
 	return c.output
 }
 
@@ -144,14 +156,20 @@
 func (c *Core) tick() {
 	switch {
 	case c.role == Leader:
-		if c.now-c.lastQuorumCheck < c.config.Election {
+		if c.now-c.lastQuorumCheck < c.electionTime() {
 			return
 		}
 		c.lastQuorumCheck = c.now
 		if !c.quorumActive(c.Members()) {
+			if c.commit < c.termStart {
+				c.failedElections++
+			}
 			c.follow(c.voteState.Term, 0)
 		}
 	case c.now >= c.electionDeadline:
+		if c.leader == 0 && c.role != PreCandidate && c.voteState.Vote != 0 {
+			c.failedElections++
+		}
 		c.leader = 0
 		c.campaign(PreCandidate)
 	}
@@ -197,7 +215,14 @@
 }
 
 func (c *Core) resetElectionDeadline() {
-	c.electionDeadline = c.now + c.config.Election + c.jitter()
+	c.electionDeadline = c.now + c.electionTime() + c.jitter()
+}
+
+// electionTime returns the minimum time without a leader before an election. It grows with the elections
+// that failed although a majority responded: on slow disks or a busy machine the votes, or the first
+// heartbeats of the leader, take longer.
+func (c *Core) electionTime() time.Duration {
+	return c.config.Election << min(max(c.failedElections-1, 0), maxElectionShift)
 }
 
 // jitter returns a random time below the election time (splitmix64).
@@ -206,7 +231,7 @@
 	z := c.random
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return time.Duration((z ^ z>>31) % uint64(max(c.config.Election, 1)))
+	return time.Duration((z ^ z>>31) % uint64(max(c.electionTime(), 1)))
 }
 
 // follow makes the replica a follower in a term. A leader of zero is unknown.
--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -94,7 +94,7 @@
 // leaderAlive reports whether the leader was in contact within the election time. Until
 // then votes are not granted, so that a replica that was cut off cannot disrupt the group.
 func (c *Core) leaderAlive() bool {
-	return c.role == Leader || c.leader != 0 && c.now-c.leaderContact < c.config.Election
+	return c.role == Leader || c.leader != 0 && c.now-c.leaderContact < c.electionTime()
 }
 
 // isUpToDate reports whether the log of a candidate is at least as recent as the log of
--- a/internal/control/replicator/leader.go
+++ b/internal/control/replicator/leader.go
@@ -215,6 +215,6 @@
 			return true
 		}
 		p := c.progress[id]
-		return p != nil && c.now-p.lastContact < c.config.Election
+		return p != nil && c.now-p.lastContact < c.electionTime()
 	})
 }
--- a/internal/control/replicator/types.go
+++ b/internal/control/replicator/types.go
@@ -234,6 +234,13 @@
 	// or a chunk are sent again.
 	resendHeartbeats = 3
 
+	// maxElectionShift bounds the growth of the election time after failed elections to four times.
+	maxElectionShift = 2
+
+	// lastingElections is the time with one leader, in election times, after which the election time is
+	// the minimum again.
+	lastingElections = 20
+
 	// unresponsiveElections is the time without a response, in election times, after which a
 	// new member may replace a voter.
 	unresponsiveElections = 3
