Let the launcher take the disk of a replica's data folder

Only the log could be opened on another disk than a folder of the operating system; the identity was read and written past it, so that no test could take away what was not synced. The launcher opens both with a function that an option replaces. No change of behavior.

--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -7,14 +7,14 @@
 	"encoding/json"
 	"errors"
 	"hash/fnv"
-	"io/fs"
+	"io"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/journaler"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
@@ -56,22 +56,45 @@
 // LogFolder returns the path of the replicated log in a data folder.
 func LogFolder(folder string) string { return filepath.Join(folder, logFolderName) }
 
-// Open reads the identity of a replica from its data folder, or creates one and stores it. On
-// the first start of an installation, the replicas at the seed addresses bootstrap the group.
-func Open(folder, address string, seeds []string, firstStart bool) (Identity, error) {
+// Open reads the identity of a replica from the disk of its data folder, or creates one and stores
+// it. On the first start of an installation, the replicas at the seed addresses bootstrap the group.
+func Open(disk journaler.Disk, address string, seeds []string, firstStart bool) (Identity, error) {
 	var identity Identity
-	if err := os.MkdirAll(LogFolder(folder), 0o750); err != nil {
-		return identity, eris.Wrap(err, "create the data folder")
+	stored, err := isStored(disk)
+	if err != nil {
+		return identity, err
 	}
-	data, err := os.ReadFile(filepath.Join(folder, identityFileName))
-	if err == nil {
+	if stored {
+		data, err := read(disk)
+		if err != nil {
+			return identity, eris.Wrap(err, "read the identity")
+		}
 		return identity, eris.Wrap(json.Unmarshal(data, &identity), "read the identity")
 	}
-	if !errors.Is(err, fs.ErrNotExist) {
-		return identity, eris.Wrap(err, "read the identity")
-	}
 	identity = newIdentity(address, seeds, firstStart, rand.Uint64())
-	return identity, save(folder, identity)
+	return identity, save(disk, identity)
+}
+
+// isStored reports whether a data folder has an identity.
+func isStored(disk journaler.Disk) (bool, error) {
+	names, err := disk.List()
+	return slices.Contains(names, identityFileName), eris.Wrap(err, "list the data folder")
+}
+
+// read returns the content of the identity file.
+func read(disk journaler.Disk) ([]byte, error) {
+	file, err := disk.Open(identityFileName)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	size, err := file.Size()
+	if err != nil {
+		return nil, err
+	}
+	data := make([]byte, size)
+	_, err = io.ReadFull(io.NewSectionReader(file, 0, size), data)
+	return data, err
 }
 
 // newIdentity returns the identity of a replica with an empty folder. The random number
@@ -96,29 +119,25 @@
 }
 
 // save stores the identity durably, before the replica uses it.
-func save(folder string, identity Identity) error {
+func save(disk journaler.Disk, identity Identity) error {
 	data, err := json.Marshal(identity)
 	if err != nil {
 		return eris.Wrap(err, "encode the identity")
 	}
-	path := filepath.Join(folder, identityFileName)
-	file, err := os.Create(path + ".new")
+	const temporary = identityFileName + ".new"
+	file, err := disk.Create(temporary)
 	if err != nil {
 		return eris.Wrap(err, "write the identity")
 	}
-	_, err = file.Write(data)
+	_, err = file.WriteAt(data, 0)
 	err = errors.Join(err, file.Sync(), file.Close())
 	if err == nil {
-		err = os.Rename(path+".new", path)
+		err = disk.Rename(temporary, identityFileName)
 	}
 	if err != nil {
 		return eris.Wrap(err, "write the identity")
 	}
-	dir, err := os.Open(folder)
-	if err != nil {
-		return eris.Wrap(err, "sync the data folder")
-	}
-	return eris.Wrap(errors.Join(dir.Sync(), dir.Close()), "sync the data folder")
+	return eris.Wrap(disk.SyncFolder(), "sync the data folder")
 }
 
 // MaintainMembership requests to join the group while the replica is not a member, or has been without a
--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -11,35 +11,43 @@
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/bootstrapper"
+	"github.com/jaygw/jaygw/internal/control/journaler"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 )
 
 var seeds = []string{"10.0.0.1:7720", "10.0.0.2:7720", "10.0.0.3:7720"}
 
+func newDisk(t *testing.T, folder string) journaler.Disk {
+	t.Helper()
+	disk, err := journaler.NewFolder(folder)
+	require.NoError(t, err)
+	return disk
+}
+
 // TestIdentity guards against bootstrapping replicas that disagree on the initial members, a
 // replica that changes its identity on restart, and one that reuses its old identity after
 // its disk was lost, because it could vote twice.
 func TestIdentity(t *testing.T) {
-	first, err := bootstrapper.Open(filepath.Join(t.TempDir(), "data"), seeds[0], seeds, true)
+	first, err := bootstrapper.Open(newDisk(t, t.TempDir()), seeds[0], seeds, true)
 	require.NoError(t, err)
 	folder := filepath.Join(t.TempDir(), "data")
-	second, err := bootstrapper.Open(folder, seeds[1], seeds, true)
+	second, err := bootstrapper.Open(newDisk(t, folder), seeds[1], seeds, true)
 	require.NoError(t, err)
 	require.Equal(t, first.Members, second.Members)
 	require.Equal(t, second.ID, second.Members[1].ID)
 	require.NotEqual(t, first.ID, second.ID)
 
-	restarted, err := bootstrapper.Open(folder, seeds[1], []string{"10.0.0.9:7720"}, false)
+	restarted, err := bootstrapper.Open(newDisk(t, folder), seeds[1], []string{"10.0.0.9:7720"}, false)
 	require.NoError(t, err)
 	require.Equal(t, second, restarted)
 
-	lost, err := bootstrapper.Open(filepath.Join(t.TempDir(), "data"), seeds[1], seeds, false)
+	lost, err := bootstrapper.Open(newDisk(t, t.TempDir()), seeds[1], seeds, false)
 	require.NoError(t, err)
 	require.NotEqual(t, second.ID, lost.ID)
 	require.Empty(t, lost.Members)
 
-	fourth, err := bootstrapper.Open(filepath.Join(t.TempDir(), "data"), "10.0.0.4:7720", seeds, true)
+	fourth, err := bootstrapper.Open(newDisk(t, t.TempDir()), "10.0.0.4:7720", seeds, true)
 	require.NoError(t, err)
 	require.Empty(t, fourth.Members, "a replica that is not a seed must join")
 }
@@ -49,7 +57,7 @@
 func TestDamagedIdentity(t *testing.T) {
 	folder := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "identity.json"), []byte(`{"id":`), 0o600))
-	_, err := bootstrapper.Open(folder, seeds[0], seeds, true)
+	_, err := bootstrapper.Open(newDisk(t, folder), seeds[0], seeds, true)
 	require.Error(t, err)
 }
 
@@ -118,14 +126,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			founders, err := bootstrapper.Founders(t.Context(), t.TempDir(), seeds[0], seeds, true, c.seeds, logrus.New())
+			founders, err := bootstrapper.Founders(t.Context(), newDisk(t, t.TempDir()), seeds[0], seeds, true, c.seeds, logrus.New())
 			require.NoError(t, err)
 			require.Equal(t, c.founders, founders)
 		})
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 	defer cancel()
-	_, err := bootstrapper.Founders(ctx, t.TempDir(), seeds[0], seeds, true, seedGroup{seeds[1]: false}, logrus.New())
+	_, err := bootstrapper.Founders(ctx, newDisk(t, t.TempDir()), seeds[0], seeds, true, seedGroup{seeds[1]: false}, logrus.New())
 	require.ErrorIs(t, err, context.DeadlineExceeded, "the seed that is down may be the only other voter")
 }
 
@@ -137,7 +145,7 @@
 		seed := fmt.Sprintf("10.0.1.%d:7720", i)
 		group[seed], many = true, append(many, seed)
 	}
-	founders, err := bootstrapper.Founders(t.Context(), t.TempDir(), many[0], many, true, group, logrus.New())
+	founders, err := bootstrapper.Founders(t.Context(), newDisk(t, t.TempDir()), many[0], many, true, group, logrus.New())
 	require.NoError(t, err)
 	require.Equal(t, many, founders)
 }
--- a/internal/control/bootstrapper/founders.go
+++ b/internal/control/bootstrapper/founders.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"io/fs"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/jaygw/jaygw/internal/control/journaler"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
@@ -31,9 +28,10 @@
 // Founders returns the seeds that bootstrap the group: those with a replica. A seed without one would
 // never vote. Processes may consider different seeds as founders if one does not respond, but that one
 // has no vote, so that all majorities still overlap. On a restart, Founders returns the seeds.
-func Founders(ctx context.Context, folder, address string, seeds []string, firstStart bool, finder ReplicaFinder, log logrus.FieldLogger) ([]string, error) {
-	if _, err := os.Stat(filepath.Join(folder, identityFileName)); !errors.Is(err, fs.ErrNotExist) || !firstStart || !slices.Contains(seeds, address) {
-		return seeds, nil
+func Founders(ctx context.Context, disk journaler.Disk, address string, seeds []string, firstStart bool, finder ReplicaFinder, log logrus.FieldLogger) ([]string, error) {
+	stored, err := isStored(disk)
+	if err != nil || stored || !firstStart || !slices.Contains(seeds, address) {
+		return seeds, err
 	}
 	started := time.Now()
 	replica := map[string]bool{address: true} // by seed that has responded
--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -18,6 +18,7 @@
 	"github.com/jaygw/jaygw/internal/control/bootstrapper"
 	"github.com/jaygw/jaygw/internal/control/client"
 	"github.com/jaygw/jaygw/internal/control/coordinator"
+	"github.com/jaygw/jaygw/internal/control/journaler"
 	"github.com/jaygw/jaygw/internal/control/locator"
 	"github.com/jaygw/jaygw/internal/control/server"
 	"github.com/jaygw/jaygw/internal/entry/relay"
@@ -40,6 +41,7 @@
 	Node struct {
 		settings  jaygw.NodeSettings
 		reload    func() (jaygw.NodeSettings, error)
+		openDisk  DiskOpener
 		log       *logrus.Logger
 		logWriter *logwriter.Writer
 		registry  metrics.Registry
@@ -54,6 +56,12 @@
 
 		replicaAddress string // process address of the replica; empty without one
 	}
+
+	// DiskOpener opens the folder at a path, and creates it if necessary.
+	DiskOpener func(path string) (journaler.Disk, error)
+
+	// NodeOption configures a Node that NewNode creates.
+	NodeOption func(*Node)
 )
 
 const (
@@ -92,15 +100,23 @@
 	nodeIdleTimeout = time.Minute
 )
 
+// WithDisks sets the function that opens the data folder and the folder of the log in it.
+func WithDisks(open DiskOpener) NodeOption { return func(n *Node) { n.openDisk = open } }
+
 // NewNode returns a daemon with settings that have been checked. Run calls reload to read
 // and check them again.
-func NewNode(settings jaygw.NodeSettings, reload func() (jaygw.NodeSettings, error)) *Node {
+func NewNode(settings jaygw.NodeSettings, reload func() (jaygw.NodeSettings, error), options ...NodeOption) *Node {
 	d, log, out := dialer.New(dialer.WithTimeout(dialTimeout)), NewLogger(settings.Log), logwriter.New(os.Stdout)
 	log.SetOutput(out)
-	return &Node{
-		settings: settings, reload: reload, log: log, logWriter: out, registry: metrics.NewRegistry(), dialer: d,
+	n := &Node{
+		settings: settings, reload: reload, openDisk: journaler.NewFolder, log: log, logWriter: out,
+		registry: metrics.NewRegistry(), dialer: d,
 		client: client.New(settings.Group, settings.SeedPeers(), d, client.WithLogger(log)),
 	}
+	for _, option := range options {
+		option(n)
+	}
+	return n
 }
 
 // Run runs the daemon in a role until the context ends and the requests in flight have
@@ -277,12 +293,22 @@
 		return n.announce()
 	}
 	n.client.Locator().Configure(locator.WithReplica())
-	founders, err := bootstrapper.Founders(ctx, n.settings.DataFolder, address, n.settings.SeedPeers(), n.settings.FirstStart, n.client, n.log)
+	logFolder := bootstrapper.LogFolder(n.settings.DataFolder)
+	disk, err := n.openDisk(n.settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	// The folder of the log exists before the identity is stored, whose sync covers both names.
+	logDisk, err := n.openDisk(logFolder)
+	if err != nil {
+		return err
+	}
+	founders, err := bootstrapper.Founders(ctx, disk, address, n.settings.SeedPeers(), n.settings.FirstStart, n.client, n.log)
 	if err != nil {
 		n.stopWork()
 		return err
 	}
-	identity, err := bootstrapper.Open(n.settings.DataFolder, address, founders, n.settings.FirstStart)
+	identity, err := bootstrapper.Open(disk, address, founders, n.settings.FirstStart)
 	if err != nil {
 		return err
 	}
@@ -291,11 +317,12 @@
 	stateMachine := applier.New(n.settings.Group, applier.WithObserver(scheduler.Observer()))
 	replica, err := coordinator.Open(
 		coordinator.Settings{
-			Group: n.settings.Group, Self: self, Folder: bootstrapper.LogFolder(n.settings.DataFolder),
+			Group: n.settings.Group, Self: self, Folder: logFolder,
 			Members: identity.Members, Join: len(identity.Members) == 0, RemoveUnresponsiveAfter: removeAfter,
 			Tolerated: n.settings.ToleratedLosses,
 		},
 		stateMachine,
+		coordinator.WithDisk(logDisk),
 		coordinator.WithDialer(n.dialer),
 		coordinator.WithLogger(n.log),
 		coordinator.WithLeadershipHook(func(l coordinator.Leadership) {
