Sync the name of a stored identity before a replica uses it

A replica that was killed between the rename of identity.json and the sync of its folder used the identity after its restart. If the VM then lost power, the file could be gone while the log of that member was there, and the replica never started again. Found by reading. The folder is now synced when the identity is read. The test fails without the sync.

--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -69,7 +69,11 @@
 		if err != nil {
 			return identity, eris.Wrap(err, "read the identity")
 		}
-		return identity, eris.Wrap(json.Unmarshal(data, &identity), "read the identity")
+		if err := json.Unmarshal(data, &identity); err != nil {
+			return identity, eris.Wrap(err, "read the identity")
+		}
+		// The process that stored the identity may have been killed before it synced the name.
+		return identity, eris.Wrap(disk.SyncFolder(), "sync the data folder")
 	}
 	identity = newIdentity(address, seeds, firstStart, rand.Uint64())
 	return identity, save(disk, identity)
--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -149,3 +149,27 @@
 	require.NoError(t, err)
 	require.Equal(t, many, founders)
 }
+
+// syncCounter counts the syncs of a folder.
+type syncCounter struct {
+	journaler.Disk
+	syncs int
+}
+
+func (d *syncCounter) SyncFolder() error {
+	d.syncs++
+	return d.Disk.SyncFolder()
+}
+
+// TestIdentityUsedBeforeItsNameIsDurable guards against a replica that was killed before the sync of the
+// identity's name, and that cannot start any more after its next process has used the identity and
+// its VM has lost power: the log then belongs to a member that the folder no longer names.
+func TestIdentityUsedBeforeItsNameIsDurable(t *testing.T) {
+	folder := t.TempDir()
+	_, err := bootstrapper.Open(newDisk(t, folder), seeds[0], seeds, true)
+	require.NoError(t, err)
+	restarted := &syncCounter{Disk: newDisk(t, folder)}
+	_, err = bootstrapper.Open(restarted, seeds[0], seeds, false)
+	require.NoError(t, err)
+	require.NotZero(t, restarted.syncs)
+}
