Keep a restarted worker from forgetting ends by the number of an earlier one

Found by reading the path of ends: a worker that starts again under its name could forget a failed or done run that the leader had not recorded.

Each request for a list carried the number of the last recorded end. The name does not tell incarnations apart, so until the first heartbeat of the later incarnation is accepted, requests with the number of an earlier one reach it every 50 ms. An end there has a low number and is forgotten at once, also between the stop of a run that has reached the later incarnation and the list that is to show how the run ended.

The number is now sent only if the latest list has succeeded and contained ends up to it, so the worker has something to forget. It is zero after a failed request and for a worker without listed ends. An agent is idle only once its worker has forgotten the recorded ends; before, the number of the last one was sent with the first request after a pause, which could be the first one to a later incarnation.

Failed before: go test -run TestScripts/end-forgotten-after-restart ./internal/agent/runner end-forgotten-after-restart.script:16: elements differ, extra in A "recorded:0", extra in B "recorded:1"

--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -10,12 +10,13 @@
 	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
-// Idle reports whether the worker need not be asked for a list: it responds and has no runs.
+// Idle reports whether the worker need not be asked for a list: it responds and has no runs, and no ends
+// that it has to forget.
 func (r *Runner) Idle() bool {
 	if r.worker == nil || r.session == 0 {
 		return true
 	}
-	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() && r.adopted
+	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && r.firstListed == 0 && !r.lastList.IsZero() && r.adopted
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
@@ -39,7 +40,7 @@
 // the agent's own. While the worker does not respond, the request leaves the lease alone: the
 // worker might execute it all the same, and the end of the lease would never be certain.
 func (r *Runner) ListRequest(now time.Time, wait time.Duration) jaygw.LeaseExtension {
-	extension := jaygw.LeaseExtension{Fence: r.session, LastRecordedEnd: r.recordedThrough, Wait: wait}
+	extension := jaygw.LeaseExtension{Fence: r.session, LastRecordedEnd: r.lastRecordedEnd(), Wait: wait}
 	end := r.leaseEnd
 	if longest := now.Add(r.longestLease); longest.Before(end) {
 		end = longest
@@ -51,6 +52,16 @@
 	return extension
 }
 
+// lastRecordedEnd returns the number up to which the worker forgets ends, or zero unless its latest list
+// contained such ends. The request may reach a later incarnation with the same name, which numbers its ends
+// anew and would forget those that nobody has recorded.
+func (r *Runner) lastRecordedEnd() uint64 {
+	if r.firstListed == 0 || r.firstListed > r.recordedThrough || !r.contact.listFailedSince.IsZero() {
+		return 0
+	}
+	return r.recordedThrough
+}
+
 // giveUp ends a run that this agent process has not started. If an earlier process may have started
 // it, only a list shows whether it is there.
 func (r *Runner) giveUp(id jaygw.Run, state *run, reason string, now time.Time) {
@@ -152,6 +163,10 @@
 	}
 	present := map[jaygw.Run]bool{}
 	slices.SortFunc(list.Ended, func(a, b jaygw.NumberedEnd) int { return cmp.Compare(a.Number, b.Number) })
+	r.firstListed = 0
+	if len(list.Ended) > 0 {
+		r.firstListed = list.Ended[0].Number
+	}
 	for _, listedEnd := range list.Ended {
 		present[listedEnd.End.Run] = true
 		report = r.addEnd(listedEnd, now) || report
