Commit polls of agents only in the term in which they were decided

A worker's runs could be considered ended while they ran, and their tasks started elsewhere (TWICE; a failure of either run then came too late for BUDGET). No log of the users shows it; found by reading.

Cause: a leader decides on the session and the ends that a poll brings from its own state, and proposed them without its term. A replica retries a proposal that is known not to be committed and forwards it to the new leader. A leader that is cut off or frozen with a poll in hand so committed it seconds later, once it was back: the session of an earlier process or incarnation replaced the present one and freed the runs of the later incarnation. The checks on late polls did not see it, because they are made when a poll arrives. In the same way "not started" of an earlier process could end a run that the present one had started.

Both are now proposed in the term of the decision, like the leader's other decisions. After a change of the leader the poll fails, and the agent polls again.

--- a/internal/schedule/orchestrator/poll.go
+++ b/internal/schedule/orchestrator/poll.go
@@ -36,11 +36,17 @@
 	return result, err
 }
 
+// commitEnds commits the ends of runs that a poll reports, in the term in which the poll is the latest: a
+// later leader may have let another agent process start a run that this one has not started.
 func (o *Orchestrator) commitEnds(ctx context.Context, request jaygw.PollRequest) error {
 	for {
 		var command *jaygw.Command
 		var err error
-		o.withRegistrar(func(state *registrar.Registrar) { command, err = o.recordPoll(request, state, time.Now()) })
+		var term uint64
+		o.withRegistrar(func(state *registrar.Registrar) {
+			term = o.term
+			command, err = o.recordPoll(request, state, time.Now())
+		})
 		if errors.Is(err, errExpiring) {
 			select {
 			case <-ctx.Done():
@@ -52,7 +58,7 @@
 		if command == nil || err != nil {
 			return err
 		}
-		result, err := o.replica.Propose(ctx, *command)
+		result, err := o.replica.Propose(jaygw.InTerm(ctx, term), *command)
 		if err != nil {
 			return err
 		}
--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -21,14 +21,15 @@
 // that the process lives: an agent waits for two responses at most, and copies have equal numbers.
 const maxLatePolls = 8
 
-// openSession opens the session that a poll requires. Only one session of a VM is opened at a time, so
-// that the order of the sessions is that of the decisions.
+// openSession opens the session that a poll requires. Only one session of a VM is opened at a time, and
+// only in the term of the decision, so that the order of the sessions is that of the decisions.
 func (o *Orchestrator) openSession(ctx context.Context, request jaygw.PollRequest) error {
 	var command *jaygw.Command
 	var err error
 	var previous registrar.Session
 	runs := 0
 	o.withRegistrar(func(state *registrar.Registrar) {
+		ctx = jaygw.InTerm(ctx, o.term)
 		command, err = o.sessionCommand(request, state)
 		if session := state.Session(request.VM); session != nil {
 			previous = *session
