Accept a worker's incarnation only if its list names it

An agent could take a late heartbeat of the worker's earlier incarnation for a new one. Found by reading; a frozen agent handles the heartbeats of both incarnations in any order once it goes on.

A heartbeat of another incarnation is confirmed by a request for a list, which had no fencing token. A worker that had seen one denied the request, the denial does not name the incarnation, and any answer that named no other one counted as a confirmation. The request now carries the token of the session, and a denial confirms nothing. Only an agent process that has not accepted any incarnation yet accepts a denial, because it knows no token; a denied heartbeat is repeated by the worker.

Failed before: go test -run TestLateHeartbeatOfEarlierIncarnation ./internal/agent/poller poller_test.go:149: An error is expected but got nil.

--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -112,14 +112,19 @@
 	a.mu.Lock()
 	current := a.runner.Worker()
 	confirmed := current != nil && current.Incarnation == w.Incarnation
+	fence := a.runner.Session()
 	a.mu.Unlock()
 	if !confirmed {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		list, err := a.worker.ExtendLease(ctx, w.Incarnation, jaygw.LeaseExtension{})
+		list, err := a.worker.ExtendLease(ctx, w.Incarnation, jaygw.LeaseExtension{Fence: fence})
 		if err != nil {
 			return eris.Wrap(err, "confirm the life of the worker")
 		}
+		if current != nil && list.Denied != "" {
+			// A denial need not name the incarnation that denies.
+			return eris.Errorf("the worker does not confirm the life of %s: %s", w.Incarnation.Name, list.Denied)
+		}
 		if list.Denied == jaygw.DeniedIncarnation || list.Incarnation != (jaygw.WorkerIncarnation{}) && list.Incarnation != w.Incarnation {
 			return eris.Errorf("the worker has another life than %s", w.Incarnation.Name)
 		}
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -26,6 +26,7 @@
 		running     []jaygw.RunningRun
 		ended       []jaygw.NumberedEnd
 		extension   jaygw.LeaseExtension // the last one
+		fence       uint64               // a lower one is denied, without the incarnation that denies it
 		stops       int
 	}
 )
@@ -46,8 +47,11 @@
 	return w.stop, nil
 }
 
-func (w *workerStub) ExtendLease(_ context.Context, _ jaygw.WorkerIncarnation, extension jaygw.LeaseExtension) (jaygw.RunList, error) {
+func (w *workerStub) ExtendLease(_ context.Context, expected jaygw.WorkerIncarnation, extension jaygw.LeaseExtension) (jaygw.RunList, error) {
 	w.extension = extension
+	if extension.Fence < w.fence {
+		return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock, Denied: jaygw.DeniedFence}, Incarnation: expected}, nil
+	}
 	return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock}, Incarnation: w.incarnation, Running: w.running, Ended: w.ended}, nil
 }
 
@@ -128,3 +132,21 @@
 	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
 	require.Equal(t, []jaygw.EndedRun{done}, ended, "the end is reported before the leader frees the run")
 }
+
+// TestLateHeartbeatOfEarlierIncarnation guards against a heartbeat of the worker's earlier incarnation that is
+// accepted after the later one has runs, which the leader then frees while they run.
+func TestLateHeartbeatOfEarlierIncarnation(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{}
+	leader := leaderFunc(func(jaygw.PollRequest) jaygw.PollResponse { return jaygw.PollResponse{Session: 7, Lease: time.Second} })
+	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)))
+	earlier := worker.restart(10, time.Hour)
+	require.NoError(t, a.Heartbeat(t.Context(), earlier, time.Hour))
+	later := worker.restart(20, time.Second)
+	require.NoError(t, a.Heartbeat(t.Context(), later, time.Second))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	worker.fence = 7
+	require.Error(t, a.Heartbeat(t.Context(), earlier, time.Hour))
+	current, _ := a.incarnation()
+	require.Equal(t, later.Incarnation, current)
+}
