Keep runs whose ends are beyond the limit of a list

A worker lists 500 ends at a time, lowest numbers first. A run that ended later is neither among these nor among the running ones; the agent took it for lost, and the leader granted its task again. Its end, done or failed, then came too late.

A list with as many ends as a worker lists at most is now marked as cut, and nothing follows from a run that is missing in it. Its ends are recorded and forgotten first, and the next list shows the others.

--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -178,7 +178,7 @@
 	actions = paceActions(r.pacer.Decide(r.observations(), now))
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
-		if present[id] || !state.since.Before(requestedAt) {
+		if present[id] || list.Cut || !state.since.Before(requestedAt) {
 			continue
 		}
 		switch state.phase {
--- a/poll.go
+++ b/poll.go
@@ -274,6 +274,8 @@
 		Incarnation WorkerIncarnation
 		Running     []RunningRun
 		Ended       []NumberedEnd
+		// Cut is set if the worker may have more ends than it has listed.
+		Cut bool
 	}
 
 	// RunningRun is one run that is in progress on a worker.
