Take no run for lost or not started while the worker's list is cut

A run whose end was among those not listed was neither running nor ended for the runner, which reported it as lost, or as not started after a stop; the leader granted its task again, and the end that came later was dropped. A new agent process counted its first list as complete in the same way, and stopped asking once the ends of that list were recorded.

A list now says whether it is cut. While it is, the runner concludes nothing from the absence of a run, a new process is not considered to know its worker, and the worker is asked until a complete list has arrived. Stops of starts without a response are still sent.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -34,7 +34,8 @@
 		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
 		recordedThrough uint64                  // the leader has recorded all ends up to this number
 		lastList        time.Time               // time of the last list, initially of the worker's first report
-		adopted         bool                    // whether the worker has listed its runs, maybe some of an earlier agent process
+		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
+		truncated       bool                    // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
 		contact         contact
 	}
@@ -129,7 +130,7 @@
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
-		r.adopted = false
+		r.adopted, r.truncated = false, false
 		r.worker = &w
 		return true
 	}
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -26,7 +26,7 @@
 //	started RUN ok|DENIAL|timeout   result of a start
 //	stopped RUN ok|timeout          result of a stop
 //	extend                          a request for a list is sent to the worker
-//	listed AGE [running=RUN] [ended=NUMBER:RUN:OUTCOME]   list that was requested AGE ago
+//	listed AGE [running=RUN] [ended=NUMBER:RUN:OUTCOME] [truncated]   list that was requested AGE ago
 //	list-denied DENIAL              a request for a list was denied
 //	list-timeout                    a request for a list got no response
 //	idle                            whether the worker need not be asked for a list
@@ -164,6 +164,10 @@
 	list := jaygw.RunList{Incarnation: in.incarnation, WorkerResponse: jaygw.WorkerResponse{Clock: elapsed}}
 	for _, arg := range args[1:] {
 		key, value, _ := strings.Cut(arg, "=")
+		if key == "truncated" {
+			list.Truncated = true
+			continue
+		}
 		if key == "running" {
 			list.Running = append(list.Running, jaygw.RunningRun{Run: in.run(value)})
 			continue
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -15,7 +15,7 @@
 	if r.worker == nil || r.session == 0 {
 		return true
 	}
-	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() && r.adopted
+	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() && r.adopted && !r.truncated
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
@@ -146,7 +146,8 @@
 	}
 	r.updateClock(list.WorkerResponse, now)
 	r.lastList, r.contact.listFailedSince = now, time.Time{}
-	r.adopted, r.contact.restarted = true, false
+	r.truncated = list.Truncated
+	r.adopted, r.contact.restarted = r.adopted || !list.Truncated, false
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
@@ -166,14 +167,16 @@
 		if present[id] || !state.since.Before(requestedAt) {
 			continue
 		}
-		switch state.phase {
-		case startUnknown:
+		// A run without an end in a truncated list may be done.
+		switch {
+		case state.phase == startUnknown:
 			// The worker may still execute the start; a stop prevents it.
 			actions = append(actions, *r.stop(id, now))
-		case stopped:
+		case list.Truncated:
+		case state.phase == stopped:
 			r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "stopped before it was there"}, now)
 			report = true
-		case running:
+		case state.phase == running:
 			r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunWorkerLost, Checkpoint: state.checkpoint, Reason: "the worker does not list it"}, now)
 			report = true
 		}
--- a/poll.go
+++ b/poll.go
@@ -274,6 +274,8 @@
 		Incarnation WorkerIncarnation
 		Running     []RunningRun
 		Ended       []NumberedEnd
+		// Truncated is set if the worker may have more ends than it lists.
+		Truncated bool
 	}
 
 	// RunningRun is one run that is in progress on a worker.
