--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -35,7 +35,8 @@
 		recordedThrough uint64                  // the leader has recorded all ends up to this number
 		firstListed     uint64                  // lowest number of an end in the latest list; zero if none
 		lastList        time.Time               // time of the last list, initially of the worker's first report
-		adopted         bool                    // whether the worker has listed its runs, maybe some of an earlier agent process
+		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
+		truncated       bool                    // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
 		contact         contact
 	}
@@ -130,7 +131,7 @@
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
-		r.adopted = false
+		r.adopted, r.truncated = false, false
 		r.worker = &w
 		return true
 	}
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -16,7 +16,8 @@
 	if r.worker == nil || r.session == 0 {
 		return true
 	}
-	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && r.firstListed == 0 && !r.lastList.IsZero() && r.adopted
+	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && r.firstListed == 0 &&
+		!r.lastList.IsZero() && r.adopted && !r.truncated
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
@@ -157,7 +158,8 @@
 	}
 	r.updateClock(list.WorkerResponse, now)
 	r.lastList, r.contact.listFailedSince = now, time.Time{}
-	r.adopted, r.contact.restarted = true, false
+	r.truncated = list.Truncated
+	r.adopted, r.contact.restarted = r.adopted || !list.Truncated, false
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
@@ -178,17 +180,19 @@
 	actions = paceActions(r.pacer.Decide(r.observations(), now))
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
-		if present[id] || list.Cut || !state.since.Before(requestedAt) {
+		if present[id] || !state.since.Before(requestedAt) {
 			continue
 		}
-		switch state.phase {
-		case startUnknown:
+		// A run without an end in a truncated list may be done.
+		switch {
+		case state.phase == startUnknown:
 			// The worker may still execute the start; a stop prevents it.
 			actions = append(actions, *r.stop(id, now))
-		case stopped:
+		case list.Truncated:
+		case state.phase == stopped:
 			r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "stopped before it was there"}, now)
 			report = true
-		case running:
+		case state.phase == running:
 			r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunWorkerLost, Checkpoint: state.checkpoint, Reason: "the worker does not list it"}, now)
 			report = true
 		}
--- a/poll.go
+++ b/poll.go
@@ -274,8 +274,8 @@
 		Incarnation WorkerIncarnation
 		Running     []RunningRun
 		Ended       []NumberedEnd
-		// Cut is set if the worker may have more ends than it has listed.
-		Cut bool
+		// Truncated is set if the worker may have more ends than it lists.
+		Truncated bool
 	}
 
 	// RunningRun is one run that is in progress on a worker.
