Refuse the late first poll of an agent process that is dead

A session frees the runs of the worker's earlier incarnation. The first poll of an agent process that had no session before it was killed could arrive, by a control process that was cut off or frozen, after its successor had opened one for a later incarnation. Found by reading; the check on late polls knew only processes that had had a session.

Failed before: go test -run TestLateFirstPoll ./internal/schedule/orchestrator first_poll_test.go:18: Expected error with "the control state could not be confirmed by a quorum" in chain but got nil.

--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -94,7 +94,7 @@
 	case session.Process == request.Process && session.Life == request.Worker.Incarnation:
 		return nil, nil
 	case session.Process == request.Process && request.Sequence < session.Sequence,
-		slices.Contains(session.Superseded, request.Process) && t.isLate(request, session):
+		isEarlier(request, session) && t.isLate(request, session):
 		return nil, jaygw.ErrNotConfirmed
 	}
 	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
@@ -113,7 +113,16 @@
 	return &jaygw.Command{EndRuns: &jaygw.EndRuns{VM: request.VM, Ended: request.Ended}}
 }
 
-// isLate reports whether a poll of a superseded process may have been sent before its session was
+// isEarlier reports whether a poll is of a process that another one has superseded, or of a process that may
+// have ended before it had a session: its worker started before that of the session. The latter is not
+// certain, since the clock of a VM may be set back.
+func isEarlier(request jaygw.PollRequest, session *registrar.Session) bool {
+	life := request.Worker.Incarnation
+	return slices.Contains(session.Superseded, request.Process) ||
+		request.Process != session.Process && life.Name == session.Life.Name && life.StartTime < session.Life.StartTime
+}
+
+// isLate reports whether a poll of an earlier process may have been sent before its session was
 // superseded.
 func (t *vmTable) isLate(request jaygw.PollRequest, session *registrar.Session) bool {
 	late := t.latePolls[request.VM]
