Start nothing on a restarted worker whose lease may outlast its agent's

The users' runs have workers that start again under their id and agents that are cut off; that this is their case is not shown.

Cause: deadlines are readings of the worker's clock, which starts anew in each incarnation, and the name does not tell incarnations apart. An order to the earlier incarnation that reaches the later one has a deadline far ahead of its clock.

A runner remembers when it sent the last deadline. If that was not surely before the start of a later incarnation of the same name, by the clock reading in its first list, the agent reports the worker as unhealthy and starts nothing there until its own lease lasts as long as the longest that the worker may have got. Until the first list nothing starts either. Orders after it have a higher fencing token, so late ones of before change nothing.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -37,6 +37,9 @@
 		lastList        time.Time               // time of the last list, initially of the worker's first report
 		adopted         bool                    // whether the worker has listed its runs, maybe some of an earlier agent process
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
+		lastDeadline    time.Time               // when the latest order with a deadline was sent
+		earlierDeadline time.Time               // the same, for the earlier incarnation with the worker's name; zero if none
+		longLeaseEnd    time.Time               // end of a lease that the agent did not mean to grant; zero if there is none
 		contact         contact
 	}
 
@@ -124,6 +127,10 @@
 // Report returns whether the leader should be notified immediately.
 func (r *Runner) Report(w jaygw.PoolWorker, clock time.Duration, now time.Time) bool {
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
+		r.earlierDeadline, r.longLeaseEnd = time.Time{}, time.Time{}
+		if r.worker != nil && r.worker.Incarnation.Name == w.Incarnation.Name {
+			r.earlierDeadline = r.lastDeadline
+		}
 		maps.DeleteFunc(r.runs, func(_ jaygw.Run, state *run) bool { return state.phase != ended })
 		r.pacer = pacer.New()
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
@@ -156,6 +163,9 @@
 		Worker: &worker, LastRevision: r.lastRevision, Hold: hold,
 	}
 	request.Unhealthy = r.contact.unhealthyReason(now)
+	if r.mayOutlastLease() {
+		request.Unhealthy = "the lease of the worker may outlast that of the agent"
+	}
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
 		reported := jaygw.ReportedRun{
@@ -257,6 +267,10 @@
 		r.giveUp(id, state, "the worker has started again", now)
 		return 0, false
 	}
+	if r.mayOutlastLease() {
+		r.giveUp(id, state, "the lease of the worker may outlast that of the agent", now)
+		return 0, false
+	}
 	if r.worker.Draining || !now.Before(startBy) || !now.Before(r.leaseEnd) {
 		r.giveUp(id, state, "the permit is over", now)
 		return 0, false
@@ -266,6 +280,7 @@
 		end = r.leaseEnd
 	}
 	r.extendWorkerLease(end)
+	r.lastDeadline = now
 	return r.workerTime(end), true
 }
 
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -47,6 +47,7 @@
 	}
 	if end.After(now) && r.contact.listFailedSince.IsZero() {
 		r.extendWorkerLease(end)
+		r.lastDeadline = now
 		extension.Deadline = r.workerTime(end)
 	}
 	return extension
@@ -79,6 +80,24 @@
 	}
 }
 
+// mayOutlastLease reports whether the worker may continue after the end of the agent's lease. An order to the
+// earlier incarnation has a deadline on a clock that is far ahead of that of a later one, which takes it for
+// the longest lease if the order reaches it.
+func (r *Runner) mayOutlastLease() bool {
+	return !r.earlierDeadline.IsZero() && !r.adopted || r.longLeaseEnd.After(r.leaseEnd)
+}
+
+// checkEarlierDeadline handles the first list of an incarnation. Orders that were sent before it started
+// ended with the earlier one; since this list, its fencing token keeps the others out.
+func (r *Runner) checkEarlierDeadline(clock time.Duration, requestedAt, now time.Time) {
+	startedAfter := requestedAt.Add(-clock - clock*clockMarginPercent/100)
+	if r.earlierDeadline.IsZero() || r.earlierDeadline.Before(startedAfter) {
+		return
+	}
+	r.longLeaseEnd = now.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
+	r.extendWorkerLease(r.longLeaseEnd)
+}
+
 // Restarted handles the certainty that the worker has started again, before the report of its later
 // incarnation. No further start is admitted. It returns the runs that the later incarnation may have
 // because it has the same name: those that the earlier one has not listed.
@@ -157,6 +176,9 @@
 	}
 	r.updateClock(list.WorkerResponse, now)
 	r.lastList, r.contact.listFailedSince = now, time.Time{}
+	if !r.adopted {
+		r.checkEarlierDeadline(list.Clock, requestedAt, now)
+	}
 	r.adopted, r.contact.restarted = true, false
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
