Find the same initial members on all seeds of a first start

Callers saw no catalog acknowledged, ever, on an installation of which one seed without a replica had started more than 5 s after the others, or of which a seed with a replica was killed at its first start before it had stored its identity and started again with "first-start": false.

Cause: after 5 s a seed that had not responded counted as a founder, and the first election requires the vote of each founder, so that a seed without a replica blocked it, for good, as the list was stored. A seed with a replica said so before it had stored its identity; killed then, it comes back under another id.

In TestFoundersIncludeSeedThatNeverVotes one case was wrong: it expected that a founder stops waiting for a seed that is down. Nothing came of that, since the group was founded only with the vote of that seed. It now waits, and the cases of a seed that responds late are new.

A replica at a seed now stores its identity, with the seeds, before it listens, and completes it when all seeds have responded. What a seed responds cannot change as long as it keeps its disk, so that all find the same list; meanwhile it serves operators and guides. Open: a seed that loses its disk between its response and the first election is still waited for.

--- a/control.go
+++ b/control.go
@@ -105,8 +105,8 @@
 		// Peers holds the process addresses of control processes that have been in contact
 		// with the responder lately. They need not have a replica.
 		Peers []string `cbor:"2,keyasint,omitempty"`
-		// Replica is set if the responder has a replica, or will have one once the group is
-		// bootstrapped.
+		// Replica is set if the responder has a replica that is an initial member of the group, or will
+		// be one.
 		Replica bool `cbor:"3,keyasint,omitempty"`
 	}
 
--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/journaler"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
@@ -25,8 +26,15 @@
 	Identity struct {
 		ID      uint64         `json:"id"`                // id of the replica in its group
 		Members []jaygw.Member `json:"members,omitempty"` // initial members of a group to bootstrap
+		// Seeds holds the seeds of the first start until the initial members are known.
+		Seeds []string `json:"seeds,omitempty"`
 	}
 
+	// Option configures Open and Found.
+	Option func(*settings)
+
+	settings struct{ disk journaler.Disk }
+
 	// Joiner sends a group the request to add a member.
 	Joiner interface {
 		Join(ctx context.Context, member jaygw.Member) (jaygw.Result, error)
@@ -53,17 +61,28 @@
 	leaderlessLimit = 2 * time.Second
 )
 
+// WithDisk sets the disk that is used instead of the data folder.
+func WithDisk(disk journaler.Disk) Option { return func(s *settings) { s.disk = disk } }
+
+// IsFounder reports whether the replica is, or will be, an initial member of its group.
+func (i Identity) IsFounder() bool { return len(i.Members) > 0 || len(i.Seeds) > 0 }
+
 // LogFolder returns the path of the replicated log in a data folder.
 func LogFolder(folder string) string { return filepath.Join(folder, logFolderName) }
 
-// Open reads the identity of a replica from its data folder, or creates one and stores it. On
-// the first start of an installation, the replicas at the seed addresses bootstrap the group.
-func Open(folder, address string, seeds []string, firstStart bool) (Identity, error) {
+// Open reads the identity of a replica from its data folder, or creates one and stores it. It is durable
+// when Open returns. On the first start of an installation, that of a replica at a seed address is not
+// complete: Found determines its initial members.
+func Open(folder, address string, seeds []string, firstStart bool, options ...Option) (Identity, error) {
 	var identity Identity
 	if err := os.MkdirAll(LogFolder(folder), 0o750); err != nil {
 		return identity, eris.Wrap(err, "create the data folder")
 	}
-	data, err := os.ReadFile(filepath.Join(folder, identityFileName))
+	disk, err := openDisk(folder, options)
+	if err != nil {
+		return identity, err
+	}
+	data, err := load(disk)
 	if err == nil {
 		return identity, eris.Wrap(json.Unmarshal(data, &identity), "read the identity")
 	}
@@ -71,7 +90,7 @@
 		return identity, eris.Wrap(err, "read the identity")
 	}
 	identity = newIdentity(address, seeds, firstStart, rand.Uint64())
-	return identity, save(folder, identity)
+	return identity, save(disk, identity)
 }
 
 // newIdentity returns the identity of a replica with an empty folder. The random number
@@ -80,11 +99,7 @@
 	if !firstStart || !slices.Contains(seeds, address) {
 		return Identity{ID: max(random, 1)}
 	}
-	identity := Identity{ID: bootstrapID(address)}
-	for _, seed := range seeds {
-		identity.Members = append(identity.Members, jaygw.Member{ID: bootstrapID(seed), Name: seed, Address: seed, Voter: true})
-	}
-	return identity
+	return Identity{ID: bootstrapID(address), Seeds: seeds}
 }
 
 // bootstrapID derives the id of an initial member from its address, so that all replicas
@@ -95,32 +110,6 @@
 	return max(h.Sum64(), 1)
 }
 
-// save stores the identity durably, before the replica uses it.
-func save(folder string, identity Identity) error {
-	data, err := json.Marshal(identity)
-	if err != nil {
-		return eris.Wrap(err, "encode the identity")
-	}
-	path := filepath.Join(folder, identityFileName)
-	file, err := os.Create(path + ".new")
-	if err != nil {
-		return eris.Wrap(err, "write the identity")
-	}
-	_, err = file.Write(data)
-	err = errors.Join(err, file.Sync(), file.Close())
-	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err != nil {
-		return eris.Wrap(err, "write the identity")
-	}
-	dir, err := os.Open(folder)
-	if err != nil {
-		return eris.Wrap(err, "sync the data folder")
-	}
-	return eris.Wrap(errors.Join(dir.Sync(), dir.Close()), "sync the data folder")
-}
-
 // MaintainMembership requests to join the group while the replica is not a member, or has been without a
 // leader for longer than leaderlessLimit. It returns when the context ends. A request from a
 // member has no effect.
--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -17,15 +17,25 @@
 
 var seeds = []string{"10.0.0.1:7720", "10.0.0.2:7720", "10.0.0.3:7720"}
 
+// openFounder opens a replica on its first start and completes its identity.
+func openFounder(t *testing.T, folder, address string, seeds []string, group bootstrapper.ReplicaFinder) bootstrapper.Identity {
+	t.Helper()
+	identity, err := bootstrapper.Open(folder, address, seeds, true)
+	require.NoError(t, err)
+	identity, err = bootstrapper.Found(t.Context(), folder, address, identity, group, logrus.New())
+	require.NoError(t, err)
+	return identity
+}
+
 // TestIdentity guards against bootstrapping replicas that disagree on the initial members, a
 // replica that changes its identity on restart, and one that reuses its old identity after
 // its disk was lost, because it could vote twice.
 func TestIdentity(t *testing.T) {
-	first, err := bootstrapper.Open(filepath.Join(t.TempDir(), "data"), seeds[0], seeds, true)
-	require.NoError(t, err)
+	all := seedGroup{seeds[0]: true, seeds[1]: true, seeds[2]: true}
+	first := openFounder(t, filepath.Join(t.TempDir(), "data"), seeds[0], seeds, all)
 	folder := filepath.Join(t.TempDir(), "data")
-	second, err := bootstrapper.Open(folder, seeds[1], seeds, true)
-	require.NoError(t, err)
+	second := openFounder(t, folder, seeds[1], seeds, all)
+	require.Len(t, second.Members, 3)
 	require.Equal(t, first.Members, second.Members)
 	require.Equal(t, second.ID, second.Members[1].ID)
 	require.NotEqual(t, first.ID, second.ID)
@@ -38,10 +48,31 @@
 	require.NoError(t, err)
 	require.NotEqual(t, second.ID, lost.ID)
 	require.Empty(t, lost.Members)
+	require.False(t, lost.IsFounder())
 
 	fourth, err := bootstrapper.Open(filepath.Join(t.TempDir(), "data"), "10.0.0.4:7720", seeds, true)
 	require.NoError(t, err)
 	require.Empty(t, fourth.Members, "a replica that is not a seed must join")
+	require.False(t, fourth.IsFounder())
+}
+
+// TestFounderRestartsBeforeGroupIsKnown guards against a founder that is killed while it waits for the seeds, and
+// that other founders then wait for without end.
+func TestFounderRestartsBeforeGroupIsKnown(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	killed, err := bootstrapper.Open(folder, seeds[0], seeds, true)
+	require.NoError(t, err)
+	require.True(t, killed.IsFounder(), "other seeds may have been told so")
+	restarted, err := bootstrapper.Open(folder, seeds[0], []string{"10.0.0.9:7720"}, false)
+	require.NoError(t, err)
+	require.Equal(t, killed, restarted)
+	restarted, err = bootstrapper.Found(t.Context(), folder, seeds[0], restarted, seedGroup{seeds[1]: true, seeds[2]: false}, logrus.New())
+	require.NoError(t, err)
+	other := openFounder(t, filepath.Join(t.TempDir(), "data"), seeds[1], seeds, seedGroup{seeds[0]: true, seeds[2]: false})
+	require.Equal(t, other.Members, restarted.Members)
+	stored, err := bootstrapper.Open(folder, seeds[0], nil, false)
+	require.NoError(t, err)
+	require.Equal(t, restarted, stored)
 }
 
 // TestDamagedIdentity guards against a replica that treats a damaged identity as missing and
@@ -104,29 +135,60 @@
 	return has, nil
 }
 
+// lateSeed is a group of which one seed responds only from a time on.
+type lateSeed struct {
+	seedGroup
+	late string
+	from time.Time
+}
+
+func (g lateSeed) HasReplica(ctx context.Context, address string) (bool, error) {
+	if address == g.late && time.Now().Before(g.from) {
+		return false, os.ErrDeadlineExceeded
+	}
+	return g.seedGroup.HasReplica(ctx, address)
+}
+
 // TestFoundersIncludeSeedThatNeverVotes guards against a first election that waits for a seed without a
-// replica, and against one that never takes place because a seed is down.
+// replica.
 func TestFoundersIncludeSeedThatNeverVotes(t *testing.T) {
 	for name, c := range map[string]struct {
-		seeds    seedGroup
+		seeds    bootstrapper.ReplicaFinder
 		founders []string
 	}{
 		"all have a replica": {seedGroup{seeds[1]: true, seeds[2]: true}, seeds},
 		"one has none":       {seedGroup{seeds[1]: true, seeds[2]: false}, seeds[:2]},
 		"only this one":      {seedGroup{seeds[1]: false, seeds[2]: false}, seeds[:1]},
-		"one is down":        {seedGroup{seeds[1]: true}, seeds},
+		"one responds late":  {lateSeed{seedGroup{seeds[1]: true, seeds[2]: true}, seeds[2], time.Now().Add(6 * time.Second)}, seeds},
+		"one has none and responds late": {
+			lateSeed{seedGroup{seeds[1]: true, seeds[2]: false}, seeds[2], time.Now().Add(6 * time.Second)}, seeds[:2],
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			founders, err := bootstrapper.Founders(t.Context(), t.TempDir(), seeds[0], seeds, true, c.seeds, logrus.New())
-			require.NoError(t, err)
+			identity := openFounder(t, t.TempDir(), seeds[0], seeds, c.seeds)
+			var founders []string
+			for _, m := range identity.Members {
+				founders = append(founders, m.Address)
+			}
 			require.Equal(t, c.founders, founders)
 		})
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
-	defer cancel()
-	_, err := bootstrapper.Founders(ctx, t.TempDir(), seeds[0], seeds, true, seedGroup{seeds[1]: false}, logrus.New())
-	require.ErrorIs(t, err, context.DeadlineExceeded, "the seed that is down may be the only other voter")
+	for name, group := range map[string]seedGroup{
+		"the other seed with a replica": {seeds[1]: false},
+		"a seed of which that is open":  {seeds[1]: true},
+	} {
+		t.Run(name+" is down", func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+			defer cancel()
+			folder := t.TempDir()
+			identity, err := bootstrapper.Open(folder, seeds[0], seeds, true)
+			require.NoError(t, err)
+			_, err = bootstrapper.Found(ctx, folder, seeds[0], identity, group, logrus.New())
+			require.ErrorIs(t, err, context.DeadlineExceeded, "the first election requires the vote of each founder")
+		})
+	}
 }
 
 // TestAnswersOfSeedsRace guards against a process that ends at its first start because the seeds respond
@@ -137,7 +199,6 @@
 		seed := fmt.Sprintf("10.0.1.%d:7720", i)
 		group[seed], many = true, append(many, seed)
 	}
-	founders, err := bootstrapper.Founders(t.Context(), t.TempDir(), many[0], many, true, group, logrus.New())
-	require.NoError(t, err)
-	require.Equal(t, many, founders)
+	identity := openFounder(t, t.TempDir(), many[0], many, group)
+	require.Len(t, identity.Members, len(many))
 }
--- a/internal/control/bootstrapper/founders.go
+++ b/internal/control/bootstrapper/founders.go
@@ -2,58 +2,56 @@
 
 import (
 	"context"
-	"errors"
-	"io/fs"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/jaygw/jaygw"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
-// ReplicaFinder asks other processes whether they have a replica.
+// ReplicaFinder asks other processes whether they have a replica that bootstraps the group.
 type ReplicaFinder interface {
 	HasReplica(ctx context.Context, address string) (bool, error)
 }
 
-const (
-	// founderInterval is the interval between two rounds of questions to the seeds.
-	founderInterval = 100 * time.Millisecond
+// founderInterval is the interval between two rounds of questions to the seeds.
+const founderInterval = 100 * time.Millisecond
 
-	// founderTimeout is the time after which a seed that has not responded counts as one with a replica,
-	// as long as a majority of the seeds is known to have one.
-	founderTimeout = 5 * time.Second
-)
-
-// Founders returns the seeds that bootstrap the group: those with a replica. A seed without one would
-// never vote. Processes may consider different seeds as founders if one does not respond, but that one
-// has no vote, so that all majorities still overlap. On a restart, Founders returns the seeds.
-func Founders(ctx context.Context, folder, address string, seeds []string, firstStart bool, finder ReplicaFinder, log logrus.FieldLogger) ([]string, error) {
-	if _, err := os.Stat(filepath.Join(folder, identityFileName)); !errors.Is(err, fs.ErrNotExist) || !firstStart || !slices.Contains(seeds, address) {
-		return seeds, nil
+// Found completes the identity of a replica at a seed of the first start, and stores it: the initial
+// members are the seeds with a replica. It waits until all seeds have responded. A process stores its
+// identity before it responds, so that its response stays the same and all processes find the same members.
+// It does nothing if the identity is complete.
+func Found(ctx context.Context, folder, address string, identity Identity, finder ReplicaFinder, log logrus.FieldLogger, options ...Option) (Identity, error) {
+	if len(identity.Seeds) == 0 {
+		return identity, nil
 	}
-	started := time.Now()
+	disk, err := openDisk(folder, options)
+	if err != nil {
+		return identity, err
+	}
+	started, seeds := time.Now(), identity.Seeds
 	replica := map[string]bool{address: true} // by seed that has responded
 	ticker := time.NewTicker(founderInterval)
 	defer ticker.Stop()
-	for {
-		askSeeds(ctx, seeds, replica, finder, log)
-		founders, complete := selectFounders(seeds, replica, time.Since(started))
-		if complete {
-			log.WithFields(logrus.Fields{
-				"seeds": seeds, "founders": founders, "responded": len(replica), "took": time.Since(started).String(),
-			}).Info("control: group is bootstrapped")
-			return founders, nil
-		}
+	for askSeeds(ctx, seeds, replica, finder, log); len(replica) < len(seeds); askSeeds(ctx, seeds, replica, finder, log) {
 		select {
 		case <-ctx.Done():
-			return nil, eris.Wrap(ctx.Err(), "wait for the seeds")
+			return identity, eris.Wrap(ctx.Err(), "wait for the seeds")
 		case <-ticker.C:
 		}
 	}
+	identity.Seeds = nil
+	for _, seed := range seeds {
+		if replica[seed] {
+			identity.Members = append(identity.Members, jaygw.Member{ID: bootstrapID(seed), Name: seed, Address: seed, Voter: true})
+		}
+	}
+	log.WithFields(logrus.Fields{
+		"seeds": seeds, "members": len(identity.Members), "took": time.Since(started).String(),
+	}).Info("control: group is bootstrapped")
+	return identity, save(disk, identity)
 }
 
 // askSeeds asks the seeds that have not responded yet.
@@ -75,19 +73,3 @@
 	}
 	calls.Wait()
 }
-
-// selectFounders returns the seeds that bootstrap the group, and whether enough of them have responded.
-func selectFounders(seeds []string, replica map[string]bool, elapsed time.Duration) (founders []string, complete bool) {
-	confirmed := 0
-	for _, seed := range seeds {
-		has, known := replica[seed]
-		if has {
-			confirmed++
-		}
-		if has || !known {
-			founders = append(founders, seed)
-		}
-	}
-	complete = confirmed == len(founders) || elapsed >= founderTimeout && confirmed > len(seeds)/2
-	return founders, complete
-}
--- a/internal/control/client/locate.go
+++ b/internal/control/client/locate.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// HasReplica asks the process at an address whether it has a replica.
+// HasReplica asks the process at an address whether it has a replica that bootstraps the group.
 func (c *Client) HasReplica(ctx context.Context, address string) (bool, error) {
 	response, err := c.locateOnce(ctx, address, c.locator.Request())
 	return response.Replica, err
--- a/internal/control/locator/locator.go
+++ b/internal/control/locator/locator.go
@@ -18,7 +18,7 @@
 	Locator struct {
 		mu      sync.Mutex
 		self    string                 // address at which this process can be asked; empty if it cannot
-		replica bool                   // whether this process has a replica
+		replica bool                   // whether this process has a replica that bootstraps the group
 		local   func() jaygw.GroupView // view of that replica; nil until it is open
 		seeds   []string
 		view    jaygw.GroupView
@@ -48,7 +48,7 @@
 // WithAddress sets the address at which other processes can ask this one.
 func WithAddress(address string) Option { return func(l *Locator) { l.self = address } }
 
-// WithReplica tells other processes that this process has a replica.
+// WithReplica tells other processes that this process has a replica that bootstraps the group.
 func WithReplica() Option { return func(l *Locator) { l.replica = true } }
 
 // WithReplicaView sets a function that returns the view of the replica in this process.
--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -267,25 +267,49 @@
 func (n *Node) startControl(ctx context.Context) error {
 	address := n.settings.ProcessAddress(n.settings.Address)
 	n.client.Locator().Configure(locator.WithAddress(address))
-	group, err := n.serveGuide(address)
-	if err != nil {
-		return err
-	}
 	if n.settings.DataFolder == "" {
+		if _, err := n.serveGuide(address); err != nil {
+			return err
+		}
 		n.log.Info("control: no data folder, serving operators without a replica")
 		context.AfterFunc(ctx, n.stopWork)
 		return n.announce()
 	}
-	n.client.Locator().Configure(locator.WithReplica())
-	founders, err := bootstrapper.Founders(ctx, n.settings.DataFolder, address, n.settings.SeedPeers(), n.settings.FirstStart, n.client, n.log)
+	identity, err := bootstrapper.Open(n.settings.DataFolder, address, n.settings.SeedPeers(), n.settings.FirstStart)
 	if err != nil {
-		n.stopWork()
 		return err
 	}
-	identity, err := bootstrapper.Open(n.settings.DataFolder, address, founders, n.settings.FirstStart)
+	if identity.IsFounder() {
+		n.client.Locator().Configure(locator.WithReplica())
+	}
+	group, err := n.serveGuide(address)
 	if err != nil {
 		return err
 	}
+	n.replicaAddress = address
+	n.client.SetSeeds(n.seedPeers(n.settings))
+	if len(identity.Seeds) == 0 {
+		if err := n.startReplica(ctx, address, identity, group); err != nil {
+			return err
+		}
+		return n.announce()
+	}
+	if err := n.announce(); err != nil {
+		return err
+	}
+	n.group.Go(func() error {
+		identity, err := bootstrapper.Found(ctx, n.settings.DataFolder, address, identity, n.client, n.log)
+		if err != nil {
+			n.stopWork()
+			return err
+		}
+		return n.startReplica(ctx, address, identity, group)
+	})
+	return nil
+}
+
+// startReplica starts a replica with an identity, which then serves the calls of other processes.
+func (n *Node) startReplica(ctx context.Context, address string, identity bootstrapper.Identity, group *groupHandler) error {
 	self := jaygw.Member{ID: identity.ID, Name: n.settings.Name, Address: address, Domain: n.settings.Domain}
 	scheduler, workflows := dispatcher.New(dispatcher.WithLogger(n.log)), orchestrator.New(orchestrator.WithLogger(n.log), orchestrator.WithRegistry(n.registry))
 	stateMachine := applier.New(n.settings.Group, applier.WithObserver(scheduler.Observer()))
@@ -314,8 +338,6 @@
 	if err != nil {
 		return err
 	}
-	n.replicaAddress = address
-	n.client.SetSeeds(n.seedPeers(n.settings))
 	n.client.Locator().Configure(locator.WithReplicaView(func() jaygw.GroupView {
 		status := replica.Status()
 		if !status.IsMember() {
@@ -324,9 +346,6 @@
 		return status.View()
 	}))
 	group.replace(handlers)
-	if err := n.announce(); err != nil {
-		return err
-	}
 	n.group.Go(func() error { return replica.Run(n.workCtx) })
 	n.group.Go(func() error { return scheduler.Run(n.workCtx) })
 	n.group.Go(func() error { return workflows.Run(n.workCtx) })
