Make the identity durable that a killed process had written

Callers would see a control process that ends at each start ("belongs to member ..., not ...") after it was killed in its first moments and then lost power: one replica less, until an operator removes its folder.

Cause: a start that found a stored identity used it as it was. If the process before was killed between the rename and the sync of the folder, a loss of power forgets the name, but not the log that the replica has synced under that identity; the next start creates another id.

Evidence: TestIdentityForgottenAfterKillAndPowerLoss, on a disk that forgets what was not synced, failed after a kill at the fourth call: id 0x916bfdcac0cbfc41 in use, 0x8f417aca19e53916 after the power loss.

The identity and its folder are now synced when they are read.

--- a/internal/control/bootstrapper/store.go
+++ b/internal/control/bootstrapper/store.go
@@ -20,7 +20,8 @@
 	return journaler.NewFolder(folder)
 }
 
-// load reads the stored identity.
+// load reads the stored identity. It syncs what it reads: a process that was killed may have written it
+// without that.
 func load(disk journaler.Disk) ([]byte, error) {
 	file, err := disk.Open(identityFileName)
 	if err != nil {
@@ -34,7 +35,10 @@
 			err = nil
 		}
 	}
-	return data, errors.Join(err, file.Close())
+	if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
+		return nil, err
+	}
+	return data, disk.SyncFolder()
 }
 
 // save stores the identity durably, before the replica uses it.
