--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -25,6 +23,8 @@
 	Identity struct {
 		ID      uint64         `json:"id"`                // id of the replica in its group
 		Members []jaygw.Member `json:"members,omitempty"` // initial members of a group to bootstrap
+		// Seeds holds the seeds of the first start until the initial members are known.
+		Seeds []string `json:"seeds,omitempty"`
 	}
 
 	// Joiner sends a group the request to add a member.
@@ -53,65 +53,39 @@
 	leaderlessLimit = 2 * time.Second
 )
 
+// IsFounder reports whether the replica is, or will be, an initial member of its group.
+func (i Identity) IsFounder() bool { return len(i.Members) > 0 || len(i.Seeds) > 0 }
+
 // LogFolder returns the path of the replicated log in a data folder.
 func LogFolder(folder string) string { return filepath.Join(folder, logFolderName) }
 
-// Open reads the identity of a replica from the disk of its data folder, or creates one and stores
-// it. On the first start of an installation, the replicas at the seed addresses bootstrap the group.
+// Open reads the identity of a replica from the disk of its data folder, or creates one and stores it. It is
+// durable when Open returns. On the first start of an installation, that of a replica at a seed address is
+// not complete: Found determines its initial members.
 func Open(disk journaler.Disk, address string, seeds []string, firstStart bool) (Identity, error) {
 	var identity Identity
-	stored, err := isStored(disk)
+	names, err := disk.List()
 	if err != nil {
-		return identity, err
+		return identity, eris.Wrap(err, "list the data folder")
 	}
-	if stored {
-		data, err := read(disk)
+	if slices.Contains(names, identityFileName) {
+		data, err := load(disk)
 		if err != nil {
 			return identity, eris.Wrap(err, "read the identity")
 		}
-		if err := json.Unmarshal(data, &identity); err != nil {
-			return identity, eris.Wrap(err, "read the identity")
-		}
-		// The process that stored the identity may have been killed before it synced the name.
-		return identity, eris.Wrap(disk.SyncFolder(), "sync the data folder")
+		return identity, eris.Wrap(json.Unmarshal(data, &identity), "read the identity")
 	}
 	identity = newIdentity(address, seeds, firstStart, rand.Uint64())
 	return identity, save(disk, identity)
 }
 
-// isStored reports whether a data folder has an identity.
-func isStored(disk journaler.Disk) (bool, error) {
-	names, err := disk.List()
-	return slices.Contains(names, identityFileName), eris.Wrap(err, "list the data folder")
-}
-
-// read returns the content of the identity file.
-func read(disk journaler.Disk) ([]byte, error) {
-	file, err := disk.Open(identityFileName)
-	if err != nil {
-		return nil, err
-	}
-	defer file.Close()
-	size, err := file.Size()
-	if err != nil {
-		return nil, err
-	}
-	data := make([]byte, size)
-	_, err = io.ReadFull(io.NewSectionReader(file, 0, size), data)
-	return data, err
-}
-
 // newIdentity returns the identity of a replica with an empty folder. The random number
 // becomes the id of a replica that does not bootstrap the group.
 func newIdentity(address string, seeds []string, firstStart bool, random uint64) Identity {
 	if !firstStart || !slices.Contains(seeds, address) {
 		return Identity{ID: max(random, 1)}
 	}
-	identity := Identity{ID: bootstrapID(address)}
-	for _, seed := range seeds {
-		identity.Members = append(identity.Members, jaygw.Member{ID: bootstrapID(seed), Name: seed, Address: seed, Voter: true})
-	}
-	return identity
+	return Identity{ID: bootstrapID(address), Seeds: seeds}
 }
 
 // bootstrapID derives the id of an initial member from its address, so that all replicas
@@ -122,28 +96,6 @@
 	return max(h.Sum64(), 1)
 }
 
-// save stores the identity durably, before the replica uses it.
-func save(disk journaler.Disk, identity Identity) error {
-	data, err := json.Marshal(identity)
-	if err != nil {
-		return eris.Wrap(err, "encode the identity")
-	}
-	const temporary = identityFileName + ".new"
-	file, err := disk.Create(temporary)
-	if err != nil {
-		return eris.Wrap(err, "write the identity")
-	}
-	_, err = file.WriteAt(data, 0)
-	err = errors.Join(err, file.Sync(), file.Close())
-	if err == nil {
-		err = disk.Rename(temporary, identityFileName)
-	}
-	if err != nil {
-		return eris.Wrap(err, "write the identity")
-	}
-	return eris.Wrap(disk.SyncFolder(), "sync the data folder")
-}
-
 // MaintainMembership requests to join the group while the replica is not a member, or has been without a
 // leader for longer than leaderlessLimit. It returns when the context ends. A request from a
 // member has no effect.
