Tell the worker that its last end is recorded

Callers saw (by the random test, not in the record): an end that a worker lists for ever. The worker learns with a request for a list which ends are recorded. Once the last run had ended and the leader had recorded that end, nothing was left to ask for, and no request told the worker until the next run.

The runner now remembers what the latest request that got a list has told, and asks once more if that is not all. The script last-end failed before ("idle" instead of "active"), as did TestRandomAttempts with the check that nothing is left after a calm time ("an end that is not recorded"); both pass now.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -33,6 +33,8 @@
 		settled         map[jaygw.Run]time.Time // runs whose end the leader has recorded, with the time of its response
 		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
 		recordedThrough uint64                  // the leader has recorded all ends up to this number
+		sentThrough     uint64                  // recordedThrough in the latest request for a list
+		toldThrough     uint64                  // recordedThrough in the latest request that got a list
 		lastList        time.Time               // time of the last list, initially of the worker's first report
 		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
 		truncated       bool                    // whether the worker may have more ends than in its last list
@@ -126,7 +128,7 @@
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
 		maps.DeleteFunc(r.runs, func(_ jaygw.Run, state *run) bool { return state.phase != ended })
 		r.pacer = pacer.New()
-		r.ends, r.recordedThrough, r.session = nil, 0, 0
+		r.ends, r.recordedThrough, r.sentThrough, r.toldThrough, r.session = nil, 0, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -10,12 +10,14 @@
 	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
-// Idle reports whether the worker need not be asked for a list: it responds and has no runs.
+// Idle reports whether the worker need not be asked for a list: it responds, has no runs and knows which
+// ends are recorded.
 func (r *Runner) Idle() bool {
 	if r.worker == nil || r.session == 0 {
 		return true
 	}
-	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() && r.adopted && !r.truncated
+	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && !r.lastList.IsZero() &&
+		r.adopted && !r.truncated && r.toldThrough == r.recordedThrough
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
@@ -39,6 +41,7 @@
 // the agent's own. While the worker does not respond, the request leaves the lease alone: the
 // worker might execute it all the same, and the end of the lease would never be certain.
 func (r *Runner) ListRequest(now time.Time, wait time.Duration) jaygw.LeaseExtension {
+	r.sentThrough = r.recordedThrough
 	extension := jaygw.LeaseExtension{Fence: r.session, LastRecordedEnd: r.recordedThrough, Wait: wait}
 	end := r.leaseEnd
 	if longest := now.Add(r.longestLease); longest.Before(end) {
@@ -146,7 +149,7 @@
 	}
 	r.updateClock(list.WorkerResponse, now)
 	r.lastList, r.contact.listFailedSince = now, time.Time{}
-	r.truncated = list.Truncated
+	r.truncated, r.toldThrough = list.Truncated, r.sentThrough
 	r.adopted, r.contact.restarted = r.adopted || !list.Truncated, false
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
