Refuse the late poll of an earlier process that has had no session

An agent sent its first poll and was replaced, and its worker started again. The poll arrived after the session of the later process was open. As the leader had never seen the earlier process, it opened a session for it, and ended the runs of the later incarnation as those of a worker that had started again, while they ran. The task was granted again, and the end of its first run, done, was taken note of.

A poll of a process without a session whose worker started before the worker of the session now counts as late, as that of a superseded process does. A clock that was set back makes a later worker look so as well; like a superseded process that lives, it gets its session after eight polls.

TestIncarnationWithEarlierStartTime covers the clock.

--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// latePolls counts the refused polls of a process that a later one has superseded.
+// latePolls counts the refused polls of a process that may be an earlier one.
 type latePolls struct {
 	session  uint64 // number of the session of the later process
 	process  uint64
@@ -17,8 +17,9 @@
 	count    int    // refused polls, each with a higher sequence number than the one before
 }
 
-// maxLatePolls is the number of polls of a superseded process that are refused as late. More polls show
-// that the process lives: an agent waits for two responses at most, and copies have equal numbers.
+// maxLatePolls is the number of polls that are refused as late of a process that may be an earlier one.
+// More polls show that the process lives: an agent waits for two responses at most, and copies have equal
+// numbers.
 const maxLatePolls = 8
 
 // openSession opens the session that a poll requires. Only one session of a VM is opened at a time, so
@@ -93,7 +94,7 @@
 	case session.Process == request.Process && session.Life == request.Worker.Incarnation:
 		return nil, nil
 	case session.Process == request.Process && request.Sequence < session.Sequence,
-		slices.Contains(session.Superseded, request.Process) && t.isLate(request, session):
+		mayBeEarlier(request, session) && t.isLate(request, session):
 		return nil, jaygw.ErrNotConfirmed
 	}
 	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
@@ -112,7 +113,14 @@
 	return &jaygw.Command{EndRuns: &jaygw.EndRuns{VM: request.VM, Ended: request.Ended}}
 }
 
-// isLate reports whether a poll of a superseded process may have been sent before its session was
+// mayBeEarlier reports whether a poll may be that of an earlier process. One that has had no session is
+// known by its worker, unless the VM's clock was set back.
+func mayBeEarlier(request jaygw.PollRequest, session *registrar.Session) bool {
+	return slices.Contains(session.Superseded, request.Process) ||
+		session.Process != request.Process && request.Worker.Incarnation.StartTime < session.Life.StartTime
+}
+
+// isLate reports whether a poll of an earlier process may have been sent before its session was
 // superseded.
 func (t *vmTable) isLate(request jaygw.PollRequest, session *registrar.Session) bool {
 	late := t.latePolls[request.VM]
--- a/internal/schedule/orchestrator/session_test.go
+++ b/internal/schedule/orchestrator/session_test.go
@@ -32,8 +32,9 @@
 // session of a later one is open, and frees the runs of the later one while they run.
 func TestLatePollOfEarlierIncarnation(t *testing.T) {
 	for name, late := range map[string]func(*jaygw.PollRequest){
-		"same process":    by(2, 20, 1),
-		"earlier process": by(1, 10, 7),
+		"same process":                      by(2, 20, 1),
+		"earlier process":                   by(1, 10, 7),
+		"earlier process without a session": by(3, 10, 1),
 	} {
 		h := newHarness(t)
 		h.poll("a", by(1, 10, 5))
@@ -66,6 +67,21 @@
 	require.Greater(t, h.poll("a", by(1, 10, 30)).Session, session)
 }
 
+// TestIncarnationWithEarlierStartTime guards against a worker that stays without a session because the clock
+// of its VM was set back before it started again.
+func TestIncarnationWithEarlierStartTime(t *testing.T) {
+	h := newHarness(t)
+	session := h.poll("a", by(1, 30, 5)).Session
+	var err error
+	for sequence := uint64(1); sequence < 30; sequence++ {
+		if err = h.latePoll("a", by(2, 10, sequence)); err == nil {
+			break
+		}
+	}
+	require.NoError(t, err)
+	require.Greater(t, h.poll("a", by(2, 10, 30)).Session, session)
+}
+
 // recordingReplica records the proposed commands.
 type recordingReplica struct {
 	jaygw.Control
