Test attempts at random with cancels, cut lists and late orders

TestRandomAttempts played one workflow, in which 3000 checks of 200 steps hardly started a run: the samples of package rapid are mostly the first ones, so that the actions late in the alphabet were rare.

New are cancels and a calm time after them in which every run has to go and every end to be recorded, lists cut to 1, 2 or 500 ends, ends of other tasks, stops and requests for a list that are executed late, polls of earlier processes, decisions that are committed late or lost with their leader, agents cut off from the leader, worker clocks that are 2% slow or fast, and payloads and checkpoints. No check was taken out.

Found with it: ends that were never told to the worker, and late first polls of earlier processes.

--- a/internal/schedule/orchestrator/attempts_test.go
+++ b/internal/schedule/orchestrator/attempts_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"flag"
+	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"testing"
@@ -19,23 +21,34 @@
 	// estate runs agents and their workers on virtual time, with one leader.
 	estate struct {
 		*harness
-		t       *rapid.T
-		agents  []*testAgent
-		term    uint64
-		process uint64
-		ends    []*knownEnd
-		starts  [][]*knownEnd // the ends before each start
+		t           *rapid.T
+		agents      []*testAgent
+		term        uint64
+		process     uint64
+		listedEnds  int // most ends in one list
+		calm        bool
+		workflow    string
+		workflows   int
+		canceled    map[string]time.Time // times of cancels, by workflow
+		checkpoints map[string]bool      // checkpoints of the present workflow
+		proposed    []jaygw.Command      // decisions that are not committed yet
+		ends        []*knownEnd
+		starts      []knownStart
 	}
 
 	// testAgent is an agent process with its worker.
 	testAgent struct {
 		vm        string
 		born      jaygw.Time
+		bornAt    time.Time
+		rate      int // of the worker's clock, in percent
 		draining  bool
+		cut       bool // whether the agent does not reach the leader
 		runner    *runner.Runner
 		requests  []jaygw.PollRequest
+		earlier   []jaygw.PollRequest // polls of earlier processes that may still arrive
 		responses []jaygw.PollResponse
-		late      []jaygw.WorkerStart // starts without a response that may still be executed
+		late      []func() // orders without a response that may still be executed
 		fence     uint64
 		leaseEnd  time.Duration
 		running   map[jaygw.Run]bool
@@ -48,18 +61,26 @@
 	// knownEnd is the end of a run that is done or has failed.
 	knownEnd struct {
 		agent   *testAgent
+		run     jaygw.Run
 		born    jaygw.Time // incarnation of the worker
 		number  uint64
 		lapses  int // lapses of the worker's lease before the end
 		outcome jaygw.RunOutcome
 		noted   bool
 	}
+
+	// knownStart is a start that a worker has executed, with the ends before it.
+	knownStart struct {
+		run    jaygw.Run
+		before []*knownEnd
+	}
 )
 
 const (
 	checksPerRun  = 3000
 	stepsPerCheck = "200" // average; a fault takes many steps from the first grant to the last start
 	maxFailures   = 2     // as in the catalog of the harness
+	cancelTime    = 3 * time.Second
 )
 
 var errNoResponse = errors.New("no response")
@@ -73,17 +94,30 @@
 }
 
 func newEstate(t *rapid.T, tb testing.TB) *estate {
-	e := &estate{harness: newHarness(tb), t: t, term: 1}
+	e := &estate{harness: newHarness(tb), t: t, term: 1, canceled: map[string]time.Time{}}
+	e.listedEnds = sample(t, "listed ends", 1, 2, 500)
 	for _, vm := range []string{"a", "b"} {
-		agent := &testAgent{vm: vm, running: map[jaygw.Run]bool{}}
+		agent := &testAgent{
+			vm: vm, bornAt: time.Unix(900, 0), rate: rapid.IntRange(98, 102).Draw(t, "rate"), running: map[jaygw.Run]bool{},
+		}
 		e.agents = append(e.agents, agent)
 		e.restart(agent)
 	}
-	e.submit("w", step(1))
+	e.submitNext()
 	return e
 }
 
-func (e *estate) clock() time.Duration { return e.now.Sub(time.Unix(900, 0)) }
+// submitNext submits a workflow of one task.
+func (e *estate) submitNext() {
+	e.workflows++
+	e.workflow, e.checkpoints = fmt.Sprintf("w%d", e.workflows), map[string]bool{}
+	e.submit(e.workflow, step(1))
+}
+
+// clock returns the reading of a worker's clock.
+func (e *estate) clock(a *testAgent) time.Duration {
+	return e.now.Sub(a.bornAt) * time.Duration(a.rate) / 100
+}
 
 func (a *testAgent) incarnation() jaygw.WorkerIncarnation {
 	return jaygw.WorkerIncarnation{Name: a.vm, StartTime: a.born}
@@ -93,20 +127,24 @@
 	a.runner.Report(jaygw.PoolWorker{
 		Incarnation: a.incarnation(), Service: "s", Domain: "d", Draining: a.draining,
 		Size: jaygw.Resources{CPU: 8 * jaygw.Core, Memory: 8 * jaygw.GB},
-	}, e.clock(), e.now)
+	}, e.clock(a), e.now)
 }
 
 // restart replaces the agent process. Its worker goes on.
 func (e *estate) restart(a *testAgent) {
 	e.process++
 	a.runner = runner.New(a.vm, e.process, 6*time.Second)
+	a.earlier = append(a.earlier, a.requests...)
 	a.requests, a.responses = nil, nil
 	e.report(a)
 }
 
 // replace starts another incarnation of a worker.
 func (e *estate) replace(a *testAgent) {
-	*a = testAgent{vm: a.vm, born: a.born + 1, runner: a.runner, running: map[jaygw.Run]bool{}}
+	*a = testAgent{
+		vm: a.vm, born: a.born + 1, bornAt: e.now.Add(-time.Second), rate: a.rate, runner: a.runner, running: map[jaygw.Run]bool{},
+		requests: a.requests, earlier: a.earlier, responses: a.responses,
+	}
 	e.report(a)
 }
 
@@ -114,16 +152,21 @@
 	delete(a.running, run)
 	a.last++
 	a.highest = max(a.highest, run.Number)
-	a.ended = append(a.ended, jaygw.NumberedEnd{Number: a.last, End: jaygw.EndedRun{Run: run, Outcome: outcome}})
+	checkpoint := ""
+	if outcome != jaygw.RunDone {
+		checkpoint = fmt.Sprintf("%s-%s-%d-%d", run.Task.Workflow, a.vm, a.born, a.last)
+		e.checkpoints[checkpoint] = true
+	}
+	a.ended = append(a.ended, jaygw.NumberedEnd{Number: a.last, End: jaygw.EndedRun{Run: run, Outcome: outcome, Checkpoint: checkpoint}})
 	if outcome == jaygw.RunFailed || outcome == jaygw.RunDone {
-		e.ends = append(e.ends, &knownEnd{agent: a, born: a.born, number: a.last, lapses: a.lapses, outcome: outcome})
+		e.ends = append(e.ends, &knownEnd{agent: a, run: run, born: a.born, number: a.last, lapses: a.lapses, outcome: outcome})
 	}
 }
 
 // lapse ends the runs of workers whose lease is over.
 func (e *estate) lapse() {
 	for _, a := range e.agents {
-		if a.leaseEnd == 0 || e.clock() < a.leaseEnd {
+		if a.leaseEnd == 0 || e.clock(a) < a.leaseEnd {
 			continue
 		}
 		a.leaseEnd = 0
@@ -143,36 +186,96 @@
 		return ""
 	case s.Run.Number <= a.highest:
 		return jaygw.DeniedStale
-	case e.clock() >= s.Deadline:
+	case e.clock(a) >= s.Deadline:
 		return jaygw.DeniedLate
 	}
 	a.fence, a.leaseEnd = s.Fence, max(a.leaseEnd, s.Deadline)
 	for _, other := range e.agents {
 		require.Empty(e.t, other.running, "two runs at the same time")
 	}
-	e.starts = append(e.starts, slices.Clone(e.ends))
+	require.Equal(e.t, e.workflow, s.Run.Task.Workflow, "a start of an earlier workflow")
+	require.Equal(e.t, "p-"+e.workflow, s.Payload)
+	require.True(e.t, s.Checkpoint == "" || e.checkpoints[s.Checkpoint], "checkpoint %s of another task", s.Checkpoint)
+	e.starts = append(e.starts, knownStart{run: s.Run, before: slices.Clone(e.ends)})
 	a.running[s.Run] = true
 	return ""
 }
 
+// stop executes an order to stop a run at the worker.
+func (e *estate) stop(a *testAgent, run jaygw.Run, fence uint64) jaygw.OrderDenial {
+	if fence < a.fence {
+		return jaygw.DeniedFence
+	}
+	a.fence, a.highest = fence, max(a.highest, run.Number)
+	if a.running[run] {
+		e.end(a, run, jaygw.RunStopped)
+	}
+	return ""
+}
+
+// extend executes a request for a list at the worker.
+func (e *estate) extend(a *testAgent, extension jaygw.LeaseExtension) jaygw.RunList {
+	list := jaygw.RunList{Incarnation: a.incarnation(), WorkerResponse: jaygw.WorkerResponse{Clock: e.clock(a)}}
+	if extension.Fence < a.fence {
+		list.Denied = jaygw.DeniedFence
+		return list
+	}
+	a.fence = extension.Fence
+	if extension.Deadline > e.clock(a) {
+		a.leaseEnd = max(a.leaseEnd, extension.Deadline)
+	}
+	for _, end := range e.ends {
+		end.noted = end.noted || end.agent == a && end.born == a.born && end.number <= extension.LastRecordedEnd && end.lapses == a.lapses
+	}
+	for len(a.ended) > 0 && a.ended[0].Number <= extension.LastRecordedEnd {
+		a.ended = a.ended[1:]
+	}
+	list.Ended = append(list.Ended, a.ended[:min(len(a.ended), e.listedEnds)]...)
+	list.Truncated = len(list.Ended) >= e.listedEnds
+	for run := range a.running {
+		list.Running = append(list.Running, jaygw.RunningRun{Run: run})
+	}
+	return list
+}
+
+// uniform draws a number below n. The integers of package rapid are mostly small, and its samples mostly
+// the first ones.
+func uniform(t *rapid.T, n int, label string) int {
+	value := 0
+	for _, bit := range rapid.SliceOfN(rapid.Bool(), 10, 10).Draw(t, label) {
+		value *= 2
+		if bit {
+			value++
+		}
+	}
+	return value % n
+}
+
+func sample[T any](t *rapid.T, label string, values ...T) T {
+	return values[uniform(t, len(values), label)]
+}
+
+// fate draws what happens to an order.
+func (e *estate) fate() string {
+	if e.calm {
+		return "ok"
+	}
+	return sample(e.t, "order", "ok", "ok", "ok", "ok", "ok", "busy", "lost", "late")
+}
+
 func (e *estate) perform(a *testAgent, actions []runner.Action) {
 	for _, action := range actions {
-		fate := rapid.SampledFrom([]string{"ok", "ok", "ok", "busy", "lost", "late"}).Draw(e.t, "order")
+		fate := e.fate()
+		denied := jaygw.DeniedUnhealthy
 		if action.Stop != nil {
-			denied := jaygw.OrderDenial("")
-			switch {
-			case fate == "busy":
-				denied = jaygw.DeniedUnhealthy
-			case fate == "late":
-			case a.runner.Session() < a.fence:
-				denied = jaygw.DeniedFence
-			default:
-				a.fence, a.highest = a.runner.Session(), max(a.highest, action.Stop.Number)
-				if a.running[*action.Stop] {
-					e.end(a, *action.Stop, jaygw.RunStopped)
-				}
+			run, fence := *action.Stop, a.runner.Session()
+			switch fate {
+			case "late":
+				a.late = append(a.late, func() { e.stop(a, run, fence) })
+			case "ok", "lost":
+				denied = e.stop(a, run, fence)
 			}
-			a.runner.Stopped(*action.Stop, jaygw.WorkerResponse{Clock: e.clock(), Denied: denied}, orderError(fate), e.now)
+			a.runner.Stopped(run, jaygw.WorkerResponse{Clock: e.clock(a), Denied: denied}, orderError(fate), e.now)
 			continue
 		}
 		if action.Start == nil {
@@ -182,15 +285,19 @@
 		if !ok {
 			continue
 		}
-		order := jaygw.WorkerStart{Run: action.Start.Run, Deadline: deadline, Fence: a.runner.Session()}
-		denied := jaygw.DeniedUnhealthy
+		order := jaygw.WorkerStart{
+			Run: action.Start.Run, Payload: action.Start.Payload, Checkpoint: action.Start.Checkpoint, Deadline: deadline, Fence: a.runner.Session(),
+		}
 		switch fate {
 		case "late":
-			a.late = append(a.late, order)
+			a.late = append(a.late, func() { e.start(a, order) })
 		case "ok", "lost":
+			if canceled, ok := e.canceled[order.Run.Task.Workflow]; ok {
+				require.LessOrEqual(e.t, e.now.Sub(canceled), cancelTime, "a start after the cancel")
+			}
 			denied = e.start(a, order)
 		}
-		e.perform(a, a.runner.Started(order.Run, jaygw.WorkerResponse{Clock: e.clock(), Denied: denied}, orderError(fate), e.now))
+		e.perform(a, a.runner.Started(order.Run, jaygw.WorkerResponse{Clock: e.clock(a), Denied: denied}, orderError(fate), e.now))
 	}
 }
 
@@ -202,33 +309,20 @@
 }
 
 // list extends the lease of a worker and reads its runs.
-func (e *estate) list(a *testAgent, lost bool) {
+func (e *estate) list(a *testAgent, fate string) {
 	if a.runner.Idle() {
 		return
 	}
 	extension := a.runner.ListRequest(e.now, 0)
-	list := jaygw.RunList{Incarnation: a.incarnation(), WorkerResponse: jaygw.WorkerResponse{Clock: e.clock()}}
-	if extension.Fence < a.fence {
-		list.Denied = jaygw.DeniedFence
-	} else {
-		a.fence = extension.Fence
-		if extension.Deadline > e.clock() {
-			a.leaseEnd = max(a.leaseEnd, extension.Deadline)
-		}
-		for _, end := range e.ends {
-			end.noted = end.noted || end.agent == a && end.born == a.born && end.number <= extension.LastRecordedEnd && end.lapses == a.lapses
-		}
-		for len(a.ended) > 0 && a.ended[0].Number <= extension.LastRecordedEnd {
-			a.ended = a.ended[1:]
-		}
-		list.Ended = append(list.Ended, a.ended...)
-		for run := range a.running {
-			list.Running = append(list.Running, jaygw.RunningRun{Run: run})
-		}
-	}
 	requested := e.now
+	if fate == "late" {
+		a.late = append(a.late, func() { e.extend(a, extension) })
+		a.runner.ListFailed(e.now)
+		return
+	}
+	list := e.extend(a, extension)
 	e.now = e.now.Add(time.Millisecond)
-	if lost {
+	if fate == "lost" {
 		a.runner.ListFailed(e.now)
 		return
 	}
@@ -239,25 +333,97 @@
 // handle lets the leader handle the poll of an agent.
 func (e *estate) handle(a *testAgent, request jaygw.PollRequest, lost bool) {
 	command, err := e.table.sessionCommand(request, e.state)
+	if errors.Is(err, jaygw.ErrNotConfirmed) {
+		return // a poll of an earlier process
+	}
 	require.NoError(e.t, err)
+	if command != nil {
+		e.apply(endsBeforeSession(request))
+	}
 	e.apply(command)
 	command, err = e.table.recordPoll(request, e.state, e.now)
+	if errors.Is(err, errExpiring) {
+		return
+	}
 	require.NoError(e.t, err)
 	e.apply(command)
 	response, err := e.table.buildResponse(request, e.state, e.now, e.now)
+	if errors.Is(err, errExpiring) {
+		return
+	}
 	require.NoError(e.t, err)
 	if !lost {
 		a.responses = append(a.responses, response)
 	}
 }
 
-// TestRandomAttempts guards against a start after as many failed runs as the queue allows, and against
-// two runs at a time or a start of a task that is done. Polls, lists and orders are lost, late and denied, agents and leaders change.
+func (e *estate) respond(a *testAgent, i int) {
+	response := a.responses[i]
+	a.responses = append(a.responses[:i:i], a.responses[i+1:]...)
+	e.perform(a, a.runner.HandleResponse(response, e.now))
+}
+
+// round lets an agent poll, send its stops and list the runs of its worker.
+func (e *estate) round(a *testAgent) {
+	responses := len(a.responses)
+	if request, ok := a.runner.PollRequest(e.now, 0); ok && !a.cut {
+		e.handle(a, request, false)
+	}
+	if len(a.responses) > responses {
+		e.respond(a, responses)
+	}
+	e.perform(a, a.runner.DueStops(e.now))
+	e.list(a, "ok")
+}
+
+// commit commits the oldest decision.
+func (e *estate) commit() {
+	command := e.proposed[0]
+	e.proposed = e.proposed[1:]
+	e.apply(&command)
+}
+
+// cancel cancels the workflow.
+func (e *estate) cancel() {
+	e.state.Cancel(jaygw.CancelWorkflow{Host: "h", Path: "/q/" + e.workflow}, jaygw.TimeOf(e.now))
+	if _, ok := e.canceled[e.workflow]; !ok {
+		e.canceled[e.workflow] = e.now
+	}
+}
+
+// settle lets a calm time pass, after which no run of the ended workflow may be left.
+func (e *estate) settle() {
+	e.calm = true
+	for _, a := range e.agents {
+		a.cut = false
+	}
+	for len(e.proposed) > 0 {
+		e.commit()
+	}
+	for range cancelTime / (100 * time.Millisecond) {
+		e.now = e.now.Add(100 * time.Millisecond)
+		e.lapse()
+		for _, a := range e.agents {
+			e.round(a)
+		}
+	}
+	for _, a := range e.agents {
+		require.Empty(e.t, e.placed(a.vm), "a run that is not freed")
+		require.Empty(e.t, a.running, "a run of an ended workflow")
+		require.Empty(e.t, a.ended, "an end that is not recorded")
+	}
+	e.calm = false
+	e.submitNext()
+}
+
+// TestRandomAttempts guards against a start after as many failed runs as the queue allows, against two
+// runs at a time or a start of a task that is done, and against starts and runs of a canceled workflow. Polls,
+// lists and orders are lost, late and denied, lists are cut, agents and leaders change.
 func TestRandomAttempts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		e := newEstate(rt, t)
-		agent := func(t *rapid.T) *testAgent { return rapid.SampledFrom(e.agents).Draw(t, "agent") }
-		lost := func(t *rapid.T) bool { return rapid.IntRange(0, 3).Draw(t, "lost") == 0 }
+		agent := func(t *rapid.T) *testAgent { return e.agents[uniform(t, len(e.agents), "agent")] }
+		lost := func(t *rapid.T) bool { return uniform(t, 4, "lost") == 0 }
 		step := func(f func(*rapid.T)) func(*rapid.T) {
 			return func(t *rapid.T) {
 				e.t = t
@@ -266,23 +432,19 @@
 				f(t)
 			}
 		}
-		respond := func(a *testAgent, i int) {
-			response := a.responses[i]
-			a.responses = append(a.responses[:i:i], a.responses[i+1:]...)
-			e.perform(a, a.runner.HandleResponse(response, e.now))
+		rarely := func(f func(*rapid.T)) func(*rapid.T) {
+			return step(func(t *rapid.T) {
+				if uniform(t, 8, "rarely") == 0 {
+					f(t)
+				}
+			})
 		}
-		round := step(func(t *rapid.T) {
-			a := agent(t)
-			if request, ok := a.runner.PollRequest(e.now, 0); ok {
-				e.handle(a, request, false)
-				respond(a, len(a.responses)-1)
-			}
-			e.perform(a, a.runner.DueStops(e.now))
-			e.list(a, false)
-		})
-		rt.Repeat(map[string]func(*rapid.T){
+		round := step(func(t *rapid.T) { e.round(agent(t)) })
+		actions := map[string]func(*rapid.T){
 			"round":  round,
 			"round2": round,
+			"round3": round,
+			"round4": round,
 			"poll": step(func(t *rapid.T) {
 				a := agent(t)
 				if request, ok := a.runner.PollRequest(e.now, 0); ok {
@@ -292,53 +454,101 @@
 			"handle": step(func(t *rapid.T) {
 				a := agent(t)
 				if len(a.requests) > 0 {
-					i := rapid.IntRange(0, len(a.requests)-1).Draw(t, "request")
+					i := uniform(t, len(a.requests), "request")
 					request := a.requests[i]
 					a.requests = append(a.requests[:i:i], a.requests[i+1:]...)
 					e.handle(a, request, lost(t))
 				}
 			}),
+			"handle earlier": step(func(t *rapid.T) {
+				if a := agent(t); len(a.earlier) > 0 {
+					request := a.earlier[0]
+					a.earlier = a.earlier[1:]
+					e.handle(a, request, true)
+				}
+			}),
 			"respond": step(func(t *rapid.T) {
 				if a := agent(t); len(a.responses) > 0 {
-					respond(a, rapid.IntRange(0, len(a.responses)-1).Draw(t, "response"))
+					e.respond(a, uniform(t, len(a.responses), "response"))
 				}
 			}),
-			"list":  step(func(t *rapid.T) { a := agent(t); e.list(a, lost(t)) }),
+			"list": step(func(t *rapid.T) {
+				a := agent(t)
+				e.list(a, sample(t, "list", "ok", "ok", "lost", "late"))
+			}),
 			"stops": step(func(t *rapid.T) { a := agent(t); e.perform(a, a.runner.DueStops(e.now)) }),
 			"late": step(func(t *rapid.T) {
 				if a := agent(t); len(a.late) > 0 {
-					order := a.late[0]
-					a.late = a.late[1:]
-					e.start(a, order)
+					i := uniform(t, len(a.late), "late")
+					order := a.late[i]
+					a.late = append(a.late[:i:i], a.late[i+1:]...)
+					order()
 				}
 			}),
 			"end": step(func(t *rapid.T) {
 				a := agent(t)
 				for run := range a.running {
-					e.end(a, run, rapid.SampledFrom([]jaygw.RunOutcome{jaygw.RunFailed, jaygw.RunFailed, jaygw.RunDone}).Draw(t, "outcome"))
+					e.end(a, run, sample(t, "outcome", jaygw.RunFailed, jaygw.RunFailed, jaygw.RunDone))
 				}
 			}),
-			"drain": step(func(t *rapid.T) {
+			"others": step(func(t *rapid.T) {
+				a := agent(t)
+				if len(a.running) == 0 {
+					return
+				}
+				a.last++
+				other := jaygw.StepTask{Workflow: "other", Index: int(a.last)}
+				a.ended = append(a.ended, jaygw.NumberedEnd{
+					Number: a.last, End: jaygw.EndedRun{Run: jaygw.Run{Task: other, Number: 1}, Outcome: jaygw.RunDone},
+				})
+			}),
+			"cut": step(func(t *rapid.T) {
+				a := agent(t)
+				a.cut = uniform(t, 2, "cut") == 0
+			}),
+			"drain": rarely(func(t *rapid.T) {
 				a := agent(t)
 				a.draining = true
 				e.report(a)
 			}),
-			"replace": step(func(t *rapid.T) { e.replace(agent(t)) }),
-			"restart": step(func(t *rapid.T) { e.restart(agent(t)) }),
-			"leader": step(func(*rapid.T) {
+			"replace": rarely(func(t *rapid.T) { e.replace(agent(t)) }),
+			"restart": rarely(func(t *rapid.T) { e.restart(agent(t)) }),
+			"leader": rarely(func(t *rapid.T) {
+				for range uniform(t, len(e.proposed)+1, "committed") {
+					e.commit()
+				}
+				e.proposed = nil
 				e.term++
 				e.table.setLeadership(e.term, true, e.now)
 			}),
 			"decide":  step(func(*rapid.T) { e.decide() }),
 			"decide2": step(func(*rapid.T) { e.decide() }),
+			"propose": step(func(*rapid.T) {
+				e.proposed = append(e.proposed, e.table.decide(e.state, e.out, e.now, jaygw.TimeOf(e.now))...)
+			}),
+			"commit": step(func(*rapid.T) {
+				if len(e.proposed) > 0 {
+					e.commit()
+				}
+			}),
+			"cancel": rarely(func(*rapid.T) { e.cancel() }),
+			"settle": step(func(*rapid.T) {
+				if e.state.Workflow(e.workflow).State.Ended() {
+					e.settle()
+				}
+			}),
 			"wait": step(func(t *rapid.T) {
-				e.now = e.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "wait")) * time.Millisecond)
+				e.now = e.now.Add(time.Duration(uniform(t, sample(t, "most", 100, 1000, 5000), "wait")) * time.Millisecond)
 			}),
+		}
+		names := slices.Sorted(maps.Keys(actions))
+		rt.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) { actions[sample(t, "step", names...)](t) },
 			"": func(t *rapid.T) {
-				for i, before := range e.starts {
+				for i, start := range e.starts {
 					noted := map[jaygw.RunOutcome]int{}
-					for _, end := range before {
-						if end.noted {
+					for _, end := range start.before {
+						if end.noted && end.run.Task == start.run.Task {
 							noted[end.outcome]++
 						}
 					}
--- a/internal/schedule/orchestrator/vmtable_test.go
+++ b/internal/schedule/orchestrator/vmtable_test.go
@@ -90,7 +90,7 @@
 
 func (h *harness) submit(id string, steps ...jaygw.Step) {
 	result := h.state.Submit(jaygw.SubmitWorkflow{
-		Spec: jaygw.WorkflowSpec{ID: id, Steps: steps}, Host: "h", Path: "/q/" + id,
+		Spec: jaygw.WorkflowSpec{ID: id, Payload: "p-" + id, Steps: steps}, Host: "h", Path: "/q/" + id,
 	}, jaygw.TimeOf(h.now))
 	require.Nil(h.t, result.Refusal)
 }
