--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// latePolls counts the refused polls of a process that a later one has superseded.
+// latePolls counts the refused polls of a process that may be an earlier one.
 type latePolls struct {
 	session  uint64 // number of the session of the later process
 	process  uint64
@@ -17,8 +17,9 @@
 	count    int    // refused polls, each with a higher sequence number than the one before
 }
 
-// maxLatePolls is the number of polls of a superseded process that are refused as late. More polls show
-// that the process lives: an agent waits for two responses at most, and copies have equal numbers.
+// maxLatePolls is the number of polls that are refused as late of a process that may be an earlier one.
+// More polls show that the process lives: an agent waits for two responses at most, and copies have equal
+// numbers.
 const maxLatePolls = 8
 
 // openSession opens the session that a poll requires. Only one session of a VM is opened at a time, and
@@ -94,7 +95,7 @@
 	case session.Process == request.Process && session.Life == request.Worker.Incarnation:
 		return nil, nil
 	case session.Process == request.Process && request.Sequence < session.Sequence,
-		isEarlier(request, session) && t.isLate(request, session):
+		mayBeEarlier(request, session) && t.isLate(request, session):
 		return nil, jaygw.ErrNotConfirmed
 	}
 	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
@@ -113,13 +114,11 @@
 	return &jaygw.Command{EndRuns: &jaygw.EndRuns{VM: request.VM, Ended: request.Ended}}
 }
 
-// isEarlier reports whether a poll is of a process that another one has superseded, or of a process that may
-// have ended before it had a session: its worker started before that of the session. The latter is not
-// certain, since the clock of a VM may be set back.
-func isEarlier(request jaygw.PollRequest, session *registrar.Session) bool {
-	life := request.Worker.Incarnation
+// mayBeEarlier reports whether a poll may be that of an earlier process. One that has had no session is
+// known by its worker, unless the VM's clock was set back.
+func mayBeEarlier(request jaygw.PollRequest, session *registrar.Session) bool {
 	return slices.Contains(session.Superseded, request.Process) ||
-		request.Process != session.Process && life.Name == session.Life.Name && life.StartTime < session.Life.StartTime
+		session.Process != request.Process && request.Worker.Incarnation.StartTime < session.Life.StartTime
 }
 
 // isLate reports whether a poll of an earlier process may have been sent before its session was
