Stop the runs of an earlier agent process before a later incarnation's session frees them

A task could run twice (TWICE): an agent process that did not know that its worker had restarted under its name ordered a run, which reached the later incarnation, and was killed. The next process reported the later incarnation without knowing that run; its session freed it, and the task started elsewhere.

The list that confirms an incarnation was dropped by a new process. And such a list proves little: it is requested without a token, so a worker that has a token denies it, and an order of the earlier process may arrive after it.

The list is now taken over, so that the poll that opens the session names its runs and ends. A poll says whether the worker has listed all its runs to a session of the process (RunsUnknown). If it has not, a session for a later incarnation with the same name frees nothing: the runs are marked to be stopped and remain placed until the agent reports their ends. The stop carries the new token, after which the worker denies the earlier process, and leaves no start behind. Runs that the leader counts to the present incarnation go on, since such a session changes no incarnation. A process that knows its runs also stops whatever a later incarnation lists before its report, as nothing was ordered to that incarnation yet.

What remains: an order of a killed process that arrives when no later process has called the worker. The worker checks the name only.

--- a/command.go
+++ b/command.go
@@ -67,8 +67,8 @@
 	}
 
 	// OpenSession records a new agent process on a VM, or a new incarnation of its worker.
-	// Runs of an earlier incarnation have ended. The index of the result is the number of
-	// the session.
+	// Runs of an earlier incarnation have ended, or are to be stopped if RunsUnknown is set. The
+	// index of the result is the number of the session.
 	OpenSession struct {
 		VM string `cbor:"1,keyasint"`
 		// Process is the random number of the agent process.
@@ -78,6 +78,9 @@
 		Domain string `cbor:"4,keyasint,omitempty"`
 		// Sequence is the sequence number of the poll that opens the session.
 		Sequence uint64 `cbor:"5,keyasint,omitempty"`
+		// RunsUnknown is set if the process does not know all runs of the worker. An incarnation may
+		// then run what an earlier process has ordered to an earlier incarnation with its name.
+		RunsUnknown bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	// StartRuns is a batch of grants of runs; each succeeds or fails by itself.
--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -87,14 +87,16 @@
 }
 
 // stopRunsOfEarlier stops the runs whose orders were for the earlier incarnation and may have reached
-// the later one. The leader frees them once the later incarnation is reported, so they must not run then.
-func (a *Poller) stopRunsOfEarlier(ctx context.Context, later jaygw.WorkerIncarnation) error {
+// the later one, of which list is the first list. The leader frees them once the later incarnation is
+// reported, so they must not run then. It returns the last list.
+func (a *Poller) stopRunsOfEarlier(ctx context.Context, later jaygw.WorkerIncarnation, list jaygw.RunList) (jaygw.RunList, error) {
 	a.mu.Lock()
 	runs := a.runner.Restarted(later)
+	runs = append(runs, a.runner.Unordered(later, list.Running, runs)...)
 	fence := a.runner.Session()
 	a.mu.Unlock()
 	if len(runs) == 0 {
-		return nil
+		return list, nil
 	}
 	a.log.WithFields(logrus.Fields{
 		"worker": later.Name, "born": int64(later.StartTime), "session": fence, "runs": len(runs),
@@ -102,29 +104,29 @@
 	for _, run := range runs {
 		reply, err := a.worker.Stop(ctx, later, run, fence)
 		if err != nil {
-			return eris.Wrap(err, "stop a run of the earlier incarnation")
+			return list, eris.Wrap(err, "stop a run of the earlier incarnation")
 		}
 		if reply.Denied != "" && reply.Denied != jaygw.DeniedStale {
-			return eris.Errorf("the worker refuses to stop a run of its earlier incarnation: %s", reply.Denied)
+			return list, eris.Errorf("the worker refuses to stop a run of its earlier incarnation: %s", reply.Denied)
 		}
 	}
 	for {
 		list, err := a.worker.ExtendLease(ctx, later, jaygw.LeaseExtension{Fence: fence})
 		if err != nil {
-			return eris.Wrap(err, "list the runs of the earlier incarnation")
+			return list, eris.Wrap(err, "list the runs of the earlier incarnation")
 		}
 		if list.Denied != "" {
-			return eris.Errorf("the worker refuses to list its runs: %s", list.Denied)
+			return list, eris.Errorf("the worker refuses to list its runs: %s", list.Denied)
 		}
 		a.mu.Lock()
 		a.runner.EndUnlisted(list.Ended, a.now())
 		a.mu.Unlock()
 		if !slices.ContainsFunc(list.Running, func(r jaygw.RunningRun) bool { return slices.Contains(runs, r.Run) }) {
-			return nil
+			return list, nil
 		}
 		sleep(ctx, listPause)
 		if ctx.Err() != nil {
-			return eris.Errorf("the worker still runs what its earlier incarnation was ordered to start")
+			return list, eris.Errorf("the worker still runs what its earlier incarnation was ordered to start")
 		}
 	}
 }
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -113,11 +113,14 @@
 	current := a.runner.Worker()
 	confirmed := current != nil && current.Incarnation == w.Incarnation
 	fence := a.runner.Session()
+	requestedAt := a.now()
 	a.mu.Unlock()
+	var list jaygw.RunList
 	if !confirmed {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		list, err := a.worker.ExtendLease(ctx, w.Incarnation, jaygw.LeaseExtension{Fence: fence})
+		var err error
+		list, err = a.worker.ExtendLease(ctx, w.Incarnation, jaygw.LeaseExtension{Fence: fence})
 		if err != nil {
 			return eris.Wrap(err, "confirm the life of the worker")
 		}
@@ -128,12 +131,15 @@
 		if list.Denied == jaygw.DeniedIncarnation || list.Incarnation != (jaygw.WorkerIncarnation{}) && list.Incarnation != w.Incarnation {
 			return eris.Errorf("the worker has another life than %s", w.Incarnation.Name)
 		}
-		if err := a.stopRunsOfEarlier(ctx, w.Incarnation); err != nil {
+		if list, err = a.stopRunsOfEarlier(ctx, w.Incarnation, list); err != nil {
 			return err
 		}
 	}
 	a.mu.Lock()
 	changed := a.runner.Report(w, clock, a.now())
+	if !confirmed {
+		a.runner.Confirmed(list, requestedAt, a.now())
+	}
 	a.lastReport = a.now()
 	a.mu.Unlock()
 	if changed {
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -150,3 +150,45 @@
 	current, _ := a.incarnation()
 	require.Equal(t, later.Incarnation, current)
 }
+
+// TestRunOfEarlierProcessOnLaterIncarnation guards against a run that the leader frees and grants elsewhere
+// although the worker runs it: an earlier agent process ordered it before it knew that the worker had restarted.
+func TestRunOfEarlierProcessOnLaterIncarnation(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{started: make(chan jaygw.WorkerStart, 1), release: make(chan jaygw.WorkerResponse, 1)}
+	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
+	now := time.Unix(1000, 0)
+	var first *jaygw.PollRequest
+	leader := leaderFunc(func(request jaygw.PollRequest) jaygw.PollResponse {
+		if first == nil {
+			first = &request
+		}
+		return jaygw.PollResponse{Session: 7, Lease: time.Second}
+	})
+	a := New(leader, worker, runner.New("vm", 2, time.Second), WithLogger(log), WithClock(func() time.Time { return now }))
+	worker.running = []jaygw.RunningRun{{Run: run}}
+	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(20, time.Second), time.Second))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	require.True(t, worker.stops > 0 || len(first.Runs) > 0)
+	require.True(t, first.RunsUnknown, "an order of the earlier process may still arrive")
+}
+
+// TestLaterIncarnationRunsOrderOfEarlierProcess guards against a run that is freed while the worker runs it: the
+// order of an earlier agent process has reached an incarnation later than the one that listed its runs.
+func TestLaterIncarnationRunsOrderOfEarlierProcess(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{}
+	leader := leaderFunc(func(jaygw.PollRequest) jaygw.PollResponse { return jaygw.PollResponse{Session: 7, Lease: time.Second} })
+	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(log))
+	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	require.NoError(t, a.listRuns(t.Context(), 0))
+	worker.running = []jaygw.RunningRun{{Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}}}
+	later := worker.restart(20, time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	require.Error(t, a.Heartbeat(ctx, later, time.Second), "the later incarnation runs it")
+	require.Equal(t, 1, worker.stops)
+	worker.running = nil
+	require.NoError(t, a.Heartbeat(t.Context(), later, time.Second))
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -19,6 +19,7 @@
 		longestLease   time.Duration
 		worker         *jaygw.PoolWorker
 		session        uint64
+		sessionAt      time.Time // when the first response of the session arrived
 		sequence       uint64
 		sent           map[uint64]time.Time // send times of polls without a response, by sequence
 		lastRevision   uint64               // revision of the leader's state in the latest response
@@ -36,6 +37,7 @@
 		firstListed     uint64                  // lowest number of an end in the latest list; zero if none
 		lastList        time.Time               // time of the last list, initially of the worker's first report
 		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
+		knowsRuns       bool                    // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
 		truncated       bool                    // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
 		contact         contact
@@ -154,7 +156,7 @@
 	worker := *r.worker
 	request := jaygw.PollRequest{
 		VM: r.vm, Process: r.process, Sequence: r.sequence,
-		Worker: &worker, LastRevision: r.lastRevision, Hold: hold,
+		Worker: &worker, LastRevision: r.lastRevision, Hold: hold, RunsUnknown: !r.knowsRuns,
 	}
 	request.Unhealthy = r.contact.unhealthyReason(now)
 	for _, id := range r.sortedRuns() {
@@ -197,7 +199,9 @@
 	if result.Session < r.session {
 		return nil // the response belongs to an earlier session
 	}
-	r.session = result.Session
+	if result.Session > r.session {
+		r.session, r.sessionAt = result.Session, now
+	}
 	if result.Sequence > r.latestResponse {
 		r.latestResponse, r.lastRevision = result.Sequence, result.Revision
 	}
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -97,6 +97,33 @@
 	return runs
 }
 
+// Confirmed handles the list by which the worker has confirmed a new incarnation, after its report. The
+// poll that opens the session names what is on the list. It was requested without a token of that session,
+// so orders of an earlier agent process may still arrive, and the list does not count as complete.
+func (r *Runner) Confirmed(list jaygw.RunList, requestedAt, now time.Time) {
+	if list.Denied != "" {
+		return
+	}
+	r.Listed(list, requestedAt, now)
+	r.adopted = false
+}
+
+// Unordered returns the runs that the later incarnation lists before its report is accepted, without those
+// in known. Nothing was ordered to it yet, so they were ordered to an earlier one, maybe by an earlier
+// agent process.
+func (r *Runner) Unordered(later jaygw.WorkerIncarnation, listed []jaygw.RunningRun, known []jaygw.Run) []jaygw.Run {
+	if r.worker == nil || r.worker.Incarnation.Name != later.Name {
+		return nil
+	}
+	var runs []jaygw.Run
+	for _, l := range listed {
+		if !slices.Contains(known, l.Run) {
+			runs = append(runs, l.Run)
+		}
+	}
+	return runs
+}
+
 // EndUnlisted handles ends that the later incarnation lists before its report is accepted. Those of
 // unlisted runs count for the earlier one, to which the leader has granted them.
 func (r *Runner) EndUnlisted(ends []jaygw.NumberedEnd, now time.Time) {
@@ -160,6 +187,8 @@
 	r.lastList, r.contact.listFailedSince = now, time.Time{}
 	r.truncated = list.Truncated
 	r.adopted, r.contact.restarted = r.adopted || !list.Truncated, false
+	// After a request with the token of the session, the worker denies orders of earlier processes.
+	r.knowsRuns = r.knowsRuns || r.session != 0 && !requestedAt.Before(r.sessionAt) && !list.Truncated
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -115,7 +115,8 @@
 }
 
 // OpenSession records a new agent process or a new incarnation of a worker. It ends the runs of an
-// earlier incarnation, since the worker that ran them no longer exists.
+// earlier incarnation, since the worker that ran them no longer exists. If a later incarnation with the
+// same name may have them, they are to be stopped instead and remain until their ends are reported.
 func (r *Registrar) OpenSession(open jaygw.OpenSession, index jaygw.Index, now jaygw.Time) jaygw.Result {
 	old := r.state.Sessions[open.VM]
 	if old != nil && old.Process == open.Process && old.Life == open.Incarnation {
@@ -128,7 +129,11 @@
 		Number: uint64(index), Process: open.Process, Life: open.Incarnation, Domain: open.Domain,
 		Sequence: open.Sequence, Superseded: superseded(old, open.Process),
 	}
-	if old != nil && old.Life != open.Incarnation {
+	switch {
+	case old == nil || old.Life == open.Incarnation:
+	case open.RunsUnknown && old.Life.Name == open.Incarnation.Name:
+		r.stopAll(open.VM)
+	default:
 		var ended []jaygw.EndedRun
 		r.ForEachPlacement(open.VM, func(p *Placement) {
 			ended = append(ended, jaygw.EndedRun{Run: p.Run, Outcome: jaygw.RunWorkerLost, Reason: "the worker has started again"})
@@ -142,6 +147,14 @@
 	return jaygw.Result{}
 }
 
+// stopAll marks all runs on a VM to be stopped.
+func (r *Registrar) stopAll(vm string) {
+	var stops []jaygw.StoppedRun
+	r.ForEachPlacement(vm, func(p *Placement) { stops = append(stops, jaygw.StoppedRun{Run: p.Run, VM: vm}) })
+	slices.SortFunc(stops, func(a, b jaygw.StoppedRun) int { return CompareRuns(a.Run, b.Run) })
+	r.StopRuns(jaygw.StopRuns{Stops: stops})
+}
+
 // superseded returns the latest agent processes before a process that opens a session.
 func superseded(old *Session, process uint64) []uint64 {
 	if old == nil {
--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -47,6 +47,7 @@
 	fields := logrus.Fields{
 		"vm": request.VM, "process": request.Process, "sequence": request.Sequence, "previous-session": previous.Number,
 		"previous-process": previous.Process, "previous-worker": previous.Life.Name, "previous-born": int64(previous.Life.StartTime), "runs": runs,
+		"runs-unknown": request.RunsUnknown,
 	}
 	if request.Worker != nil {
 		fields["worker"], fields["born"] = request.Worker.Incarnation.Name, int64(request.Worker.Incarnation.StartTime)
@@ -99,7 +100,7 @@
 	}
 	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
 		VM: request.VM, Process: request.Process, Incarnation: request.Worker.Incarnation, Domain: request.Worker.Domain,
-		Sequence: request.Sequence,
+		Sequence: request.Sequence, RunsUnknown: request.RunsUnknown,
 	}}, nil
 }
 
--- a/internal/schedule/orchestrator/session_test.go
+++ b/internal/schedule/orchestrator/session_test.go
@@ -95,3 +95,27 @@
 	require.Equal(t, []jaygw.EndedRun{done}, replica.proposed[0].EndRuns.Ended)
 	require.NotNil(t, replica.proposed[1].OpenSession)
 }
+
+// TestRunsOfEarlierIncarnationStopBeforeTheyAreFree guards against a run that is granted elsewhere while the
+// later incarnation of its worker runs it for an earlier agent process.
+func TestRunsOfEarlierIncarnationStopBeforeTheyAreFree(t *testing.T) {
+	h := newHarness(t)
+	h.poll("a", by(1, 10, 5))
+	h.submit("w", step(1))
+	h.decide()
+	runs := h.placed("a")
+	require.Len(t, runs, 1)
+	unknown := func(request *jaygw.PollRequest) {
+		by(2, 20, request.Sequence)(request)
+		request.RunsUnknown = true
+	}
+	response := h.poll("a", unknown)
+	require.Equal(t, runs, response.Stops)
+	require.Empty(t, response.Starts)
+	require.Equal(t, runs, h.placed("a"))
+	response = h.poll("a", unknown, func(request *jaygw.PollRequest) {
+		request.Ended = []jaygw.EndedRun{{Run: runs[0], Outcome: jaygw.RunNotStarted}}
+	})
+	require.Equal(t, runs, response.Recorded)
+	require.Empty(t, h.placed("a"))
+}
--- a/poll.go
+++ b/poll.go
@@ -87,6 +87,9 @@
 		Hold time.Duration `cbor:"9,keyasint,omitempty"`
 		// Unhealthy says why the VM should get no new runs; empty if it may get them.
 		Unhealthy string `cbor:"10,keyasint,omitempty"`
+		// RunsUnknown is set until the worker has listed all its runs to a session of this process. It may
+		// then run what an earlier process has ordered.
+		RunsUnknown bool `cbor:"11,keyasint,omitempty"`
 	}
 
 	// StartOrder orders an agent to start a run.
