Keep an unlisted run of a restarted worker placed for the longest lease

A task could run twice (TWICE) when its start had no response, the worker had restarted under its name, and the later incarnation denied the stop for some seconds (429 or 503). The run counted as ended once the lease of the earlier incarnation was over, was granted elsewhere, and was no longer among the runs that must be stopped before the later incarnation is accepted.

The lease was that of the earlier incarnation. The later one reads the deadline of the order on a clock of its own, where it may lie far ahead, and shortens it to the longest lease only. Once the worker is known to have started again, an unlisted run ends with a list of the later incarnation, or when the longest lease after the end of the earlier one is over as well; without that bound the run would stay placed if no worker reports again.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -344,13 +344,15 @@
 }
 
 // endExpiredRuns ends the runs of a worker that does not list them, once the worker's own
-// lease has expired.
+// lease has expired. Unlisted runs of a worker that has started again may be on the later incarnation.
+// Their deadline was on another clock, so they may have the longest lease there.
 func (r *Runner) endExpiredRuns(now time.Time) {
 	if r.contact.listFailedSince.IsZero() || r.workerLeaseEnd.IsZero() || !now.After(r.workerLeaseEnd) {
 		return
 	}
+	laterLeaseEnd := r.workerLeaseEnd.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
 	for _, id := range r.sortedRuns() {
-		if state := r.runs[id]; state.phase != ended {
+		if state := r.runs[id]; state.phase != ended && (state.listed || !r.contact.restarted || now.After(laterLeaseEnd)) {
 			r.markEnded(state, jaygw.EndedRun{
 				Run: id, Outcome: jaygw.RunWorkerLost, Checkpoint: state.checkpoint, Reason: "the worker does not answer and its lease is over",
 			}, now)
