Admit no start by a list that is older than the news of a restart

A start could be sent to the later incarnation of a worker, to which the leader does not count the run (TWICE): the list of the earlier incarnation was handled after the later one had been confirmed, or after another incarnation had denied a list, and cleared the mark that keeps starts back. Responses may overtake each other.

A confirmed later incarnation is now certain until its report is accepted. A denial holds until a list that was requested after it arrives, so that one wrong denial does not keep a worker without starts. An older list does not end the failure of the lists either, after which requests neither extend the lease nor let ends be forgotten.

Failed before: go test -run 'TestListAfterRestarted|TestListRequestedAfterDenial' ./internal/agent/runner restart_test.go:51: Should be false restart_test.go:66: Not equal, expected false, actual true, requested before

--- a/internal/agent/runner/contact.go
+++ b/internal/agent/runner/contact.go
@@ -9,7 +9,8 @@
 	lastResponse    time.Time // last response to an order, initially the worker's first report
 	failedOrders    int       // orders without a response since lastResponse
 	lastFailure     time.Time // when the last of them failed
-	restarted       bool      // another incarnation has denied a request for a list
+	deniedAt        time.Time // when another incarnation denied a request for a list; zero if none since the last list
+	confirmed       bool      // a later incarnation has listed its runs
 }
 
 const (
@@ -34,3 +35,7 @@
 	}
 	return ""
 }
+
+// restarted reports whether the worker has started again. A denial may be wrong, which a list that was
+// requested after it shows; what a later incarnation has confirmed is certain.
+func (c *contact) restarted() bool { return c.confirmed || !c.deniedAt.IsZero() }
--- a/internal/agent/runner/restart_test.go
+++ b/internal/agent/runner/restart_test.go
@@ -39,3 +39,30 @@
 	request, _ = r.PollRequest(now.Add(10*time.Second), 0)
 	require.Len(t, request.Ended, 1, "the longest lease of the later incarnation is over")
 }
+
+// TestListAfterRestarted guards against starts that are admitted again by a list of the earlier incarnation that
+// is handled after the later one was confirmed.
+func TestListAfterRestarted(t *testing.T) {
+	r, id, now := withStart(t)
+	later := jaygw.WorkerIncarnation{Name: "w", StartTime: 20}
+	r.Restarted(later)
+	r.Listed(jaygw.RunList{Incarnation: jaygw.WorkerIncarnation{Name: "w", StartTime: 10}}, now, now.Add(10*time.Millisecond))
+	_, ok := r.Admit(id, now.Add(2*time.Second), now.Add(20*time.Millisecond))
+	require.False(t, ok)
+}
+
+// TestListRequestedAfterDenial guards against a worker that gets no start any more because one denial named
+// another incarnation although the worker still runs.
+func TestListRequestedAfterDenial(t *testing.T) {
+	for name, admitted := range map[string]bool{"requested before": false, "requested after": true} {
+		r, id, now := withStart(t)
+		requestedAt := now
+		r.Listed(jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Denied: jaygw.DeniedIncarnation}}, now, now.Add(5*time.Millisecond))
+		if admitted {
+			requestedAt = now.Add(6 * time.Millisecond)
+		}
+		r.Listed(jaygw.RunList{Incarnation: jaygw.WorkerIncarnation{Name: "w", StartTime: 10}}, requestedAt, now.Add(10*time.Millisecond))
+		_, ok := r.Admit(id, now.Add(2*time.Second), now.Add(20*time.Millisecond))
+		require.Equal(t, admitted, ok, name)
+	}
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -257,7 +257,7 @@
 	if state == nil || state.phase != starting {
 		return 0, false
 	}
-	if r.contact.restarted {
+	if r.contact.restarted() {
 		// The leader still counts the run to the earlier incarnation and will free it.
 		r.giveUp(id, state, "the worker has started again", now)
 		return 0, false
@@ -352,7 +352,7 @@
 	}
 	laterLeaseEnd := r.workerLeaseEnd.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
 	for _, id := range r.sortedRuns() {
-		if state := r.runs[id]; state.phase != ended && (state.listed || !r.contact.restarted || now.After(laterLeaseEnd)) {
+		if state := r.runs[id]; state.phase != ended && (state.listed || !r.contact.restarted() || now.After(laterLeaseEnd)) {
 			r.markEnded(state, jaygw.EndedRun{
 				Run: id, Outcome: jaygw.RunWorkerLost, Checkpoint: state.checkpoint, Reason: "the worker does not answer and its lease is over",
 			}, now)
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -87,7 +87,7 @@
 	if r.worker == nil || r.worker.Incarnation == later {
 		return nil
 	}
-	r.contact.restarted = true
+	r.contact.confirmed = true
 	var runs []jaygw.Run
 	for _, id := range r.sortedRuns() {
 		if state := r.runs[id]; r.worker.Incarnation.Name == later.Name && !state.listed && state.phase != ended {
@@ -177,16 +177,24 @@
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
 	if r.worker != nil && list.Denied != "" {
 		r.ListFailed(now)
-		r.contact.restarted = r.contact.restarted || list.Denied == jaygw.DeniedIncarnation
+		if list.Denied == jaygw.DeniedIncarnation {
+			r.contact.deniedAt = now
+		}
 		return nil, false
 	}
 	if r.worker == nil || list.Incarnation != r.worker.Incarnation {
 		return nil, false
 	}
 	r.updateClock(list.WorkerResponse, now)
-	r.lastList, r.contact.listFailedSince = now, time.Time{}
+	r.lastList = now
 	r.truncated = list.Truncated
-	r.adopted, r.contact.restarted = r.adopted || !list.Truncated, false
+	r.adopted = r.adopted || !list.Truncated
+	if !requestedAt.Before(r.contact.deniedAt) {
+		r.contact.deniedAt = time.Time{}
+	}
+	if !r.contact.restarted() {
+		r.contact.listFailedSince = time.Time{}
+	}
 	// After a request with the token of the session, the worker denies orders of earlier processes.
 	r.knowsRuns = r.knowsRuns || r.session != 0 && !requestedAt.Before(r.sessionAt) && !list.Truncated
 	if r.workerLeaseEnd.IsZero() {
