Accept no incarnation by a list that a later report has overtaken

An agent could return to an earlier incarnation of its worker, whose session then freed the runs of the later one. The report of an incarnation is checked by a request for a list, and whether another report was accepted during that request was not checked.

A report counts only if the accepted incarnation is the one that was accepted when the check began, or its own. Otherwise it is refused, and the worker reports again.

Failed before: go test -run TestLateConfirmation ./internal/agent/poller poller_test.go:209: An error is expected but got nil.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -89,8 +89,12 @@
 // stopRunsOfEarlier stops the runs whose orders were for the earlier incarnation and may have reached
 // the later one, of which list is the first list. The leader frees them once the later incarnation is
 // reported, so they must not run then. It returns the last list.
-func (a *Poller) stopRunsOfEarlier(ctx context.Context, later jaygw.WorkerIncarnation, list jaygw.RunList) (jaygw.RunList, error) {
+func (a *Poller) stopRunsOfEarlier(ctx context.Context, earlier, later jaygw.WorkerIncarnation, list jaygw.RunList) (jaygw.RunList, error) {
 	a.mu.Lock()
+	if !a.isCurrent(earlier) {
+		a.mu.Unlock()
+		return list, errOtherReport
+	}
 	runs := a.runner.Restarted(later)
 	runs = append(runs, a.runner.Unordered(later, list.Running, runs)...)
 	fence := a.runner.Session()
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -110,9 +110,8 @@
 // late, so it is accepted only if the worker confirms that incarnation.
 func (a *Poller) Heartbeat(ctx context.Context, w jaygw.PoolWorker, clock time.Duration) error {
 	a.mu.Lock()
-	current := a.runner.Worker()
-	confirmed := current != nil && current.Incarnation == w.Incarnation
-	fence := a.runner.Session()
+	current, fence := a.incarnation()
+	confirmed := current == w.Incarnation
 	requestedAt := a.now()
 	a.mu.Unlock()
 	var list jaygw.RunList
@@ -124,18 +123,23 @@
 		if err != nil {
 			return eris.Wrap(err, "confirm the life of the worker")
 		}
-		if current != nil && list.Denied != "" {
+		if current != (jaygw.WorkerIncarnation{}) && list.Denied != "" {
 			// A denial need not name the incarnation that denies.
 			return eris.Errorf("the worker does not confirm the life of %s: %s", w.Incarnation.Name, list.Denied)
 		}
 		if list.Denied == jaygw.DeniedIncarnation || list.Incarnation != (jaygw.WorkerIncarnation{}) && list.Incarnation != w.Incarnation {
 			return eris.Errorf("the worker has another life than %s", w.Incarnation.Name)
 		}
-		if list, err = a.stopRunsOfEarlier(ctx, w.Incarnation, list); err != nil {
+		if list, err = a.stopRunsOfEarlier(ctx, current, w.Incarnation, list); err != nil {
 			return err
 		}
 	}
 	a.mu.Lock()
+	confirmed = a.isCurrent(w.Incarnation)
+	if !confirmed && !a.isCurrent(current) {
+		a.mu.Unlock()
+		return errOtherReport
+	}
 	changed := a.runner.Report(w, clock, a.now())
 	if !confirmed {
 		a.runner.Confirmed(list, requestedAt, a.now())
@@ -210,7 +214,12 @@
 	}
 }
 
-var errNoWorker = errors.New("the worker has not reported yet")
+var (
+	errNoWorker = errors.New("the worker has not reported yet")
+
+	// errOtherReport refuses a report that may be older than one accepted since; a worker reports again.
+	errOtherReport = errors.New("the report of another life was accepted meanwhile")
+)
 
 func (a *Poller) pollOnce(ctx context.Context, wait, timeout time.Duration) error {
 	a.mu.Lock()
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -28,6 +28,7 @@
 		extension   jaygw.LeaseExtension // the last one
 		fence       uint64               // a lower one is denied, without the incarnation that denies it
 		stops       int
+		listed      func() // called before a list is returned; nil for none
 	}
 )
 
@@ -49,6 +50,10 @@
 
 func (w *workerStub) ExtendLease(_ context.Context, expected jaygw.WorkerIncarnation, extension jaygw.LeaseExtension) (jaygw.RunList, error) {
 	w.extension = extension
+	if listed := w.listed; listed != nil {
+		w.listed = nil
+		defer listed()
+	}
 	if extension.Fence < w.fence {
 		return jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Clock: w.clock, Denied: jaygw.DeniedFence}, Incarnation: expected}, nil
 	}
@@ -192,3 +197,16 @@
 	worker.running = nil
 	require.NoError(t, a.Heartbeat(t.Context(), later, time.Second))
 }
+
+// TestLateConfirmation guards against a heartbeat of the worker's earlier incarnation that is accepted because
+// the list that confirms it is handled after the later incarnation was accepted.
+func TestLateConfirmation(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{}
+	a := New(nil, worker, runner.New("vm", 1, time.Second), WithLogger(log))
+	earlier := worker.restart(10, time.Hour)
+	worker.listed = func() { require.NoError(t, a.Heartbeat(t.Context(), worker.restart(20, time.Second), time.Second)) }
+	require.Error(t, a.Heartbeat(t.Context(), earlier, time.Hour))
+	current, _ := a.incarnation()
+	require.Equal(t, worker.incarnation, current)
+}
