--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -19,6 +19,7 @@
 		longestLease   time.Duration
 		worker         *jaygw.PoolWorker
 		session        uint64
+		sessionAt      time.Time // when the first response of the session arrived
 		sequence       uint64
 		sent           map[uint64]time.Time // send times of polls without a response, by sequence
 		lastRevision   uint64               // revision of the leader's state in the latest response
@@ -36,6 +37,7 @@
 		firstListed     uint64                  // lowest number of an end in the latest list; zero if none
 		lastList        time.Time               // time of the last list, initially of the worker's first report
 		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
+		knowsRuns       bool                    // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
 		truncated       bool                    // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
 		lastDeadline    time.Time               // when the latest order with a deadline was sent
@@ -161,7 +163,7 @@
 	worker := *r.worker
 	request := jaygw.PollRequest{
 		VM: r.vm, Process: r.process, Sequence: r.sequence,
-		Worker: &worker, LastRevision: r.lastRevision, Hold: hold,
+		Worker: &worker, LastRevision: r.lastRevision, Hold: hold, RunsUnknown: !r.knowsRuns,
 	}
 	request.Unhealthy = r.contact.unhealthyReason(now)
 	if r.mayOutlastLease() {
@@ -207,7 +209,9 @@
 	if result.Session < r.session {
 		return nil // the response belongs to an earlier session
 	}
-	r.session = result.Session
+	if result.Session > r.session {
+		r.session, r.sessionAt = result.Session, now
+	}
 	if result.Sequence > r.latestResponse {
 		r.latestResponse, r.lastRevision = result.Sequence, result.Revision
 	}
@@ -263,7 +267,7 @@
 	if state == nil || state.phase != starting {
 		return 0, false
 	}
-	if r.contact.restarted {
+	if r.contact.restarted() {
 		// The leader still counts the run to the earlier incarnation and will free it.
 		r.giveUp(id, state, "the worker has started again", now)
 		return 0, false
@@ -355,13 +359,15 @@
 }
 
 // endExpiredRuns ends the runs of a worker that does not list them, once the worker's own
-// lease has expired.
+// lease has expired. Unlisted runs of a worker that has started again may be on the later incarnation.
+// Their deadline was on another clock, so they may have the longest lease there.
 func (r *Runner) endExpiredRuns(now time.Time) {
 	if r.contact.listFailedSince.IsZero() || r.workerLeaseEnd.IsZero() || !now.After(r.workerLeaseEnd) {
 		return
 	}
+	laterLeaseEnd := r.workerLeaseEnd.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
 	for _, id := range r.sortedRuns() {
-		if state := r.runs[id]; state.phase != ended {
+		if state := r.runs[id]; state.phase != ended && (state.listed || !r.contact.restarted() || now.After(laterLeaseEnd)) {
 			r.markEnded(state, jaygw.EndedRun{
 				Run: id, Outcome: jaygw.RunWorkerLost, Checkpoint: state.checkpoint, Reason: "the worker does not answer and its lease is over",
 			}, now)
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -106,7 +106,7 @@
 	if r.worker == nil || r.worker.Incarnation == later {
 		return nil
 	}
-	r.contact.restarted = true
+	r.contact.confirmed = true
 	var runs []jaygw.Run
 	for _, id := range r.sortedRuns() {
 		if state := r.runs[id]; r.worker.Incarnation.Name == later.Name && !state.listed && state.phase != ended {
@@ -116,6 +116,33 @@
 	return runs
 }
 
+// Confirmed handles the list by which the worker has confirmed a new incarnation, after its report. The
+// poll that opens the session names what is on the list. It was requested without a token of that session,
+// so orders of an earlier agent process may still arrive, and the list does not count as complete.
+func (r *Runner) Confirmed(list jaygw.RunList, requestedAt, now time.Time) {
+	if list.Denied != "" {
+		return
+	}
+	r.Listed(list, requestedAt, now)
+	r.adopted = false
+}
+
+// Unordered returns the runs that the later incarnation lists before its report is accepted, without those
+// in known. Nothing was ordered to it yet, so they were ordered to an earlier one, maybe by an earlier
+// agent process.
+func (r *Runner) Unordered(later jaygw.WorkerIncarnation, listed []jaygw.RunningRun, known []jaygw.Run) []jaygw.Run {
+	if r.worker == nil || r.worker.Incarnation.Name != later.Name {
+		return nil
+	}
+	var runs []jaygw.Run
+	for _, l := range listed {
+		if !slices.Contains(known, l.Run) {
+			runs = append(runs, l.Run)
+		}
+	}
+	return runs
+}
+
 // EndUnlisted handles ends that the later incarnation lists before its report is accepted. Those of
 // unlisted runs count for the earlier one, to which the leader has granted them.
 func (r *Runner) EndUnlisted(ends []jaygw.NumberedEnd, now time.Time) {
@@ -169,19 +196,29 @@
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
 	if r.worker != nil && list.Denied != "" {
 		r.ListFailed(now)
-		r.contact.restarted = r.contact.restarted || list.Denied == jaygw.DeniedIncarnation
+		if list.Denied == jaygw.DeniedIncarnation {
+			r.contact.deniedAt = now
+		}
 		return nil, false
 	}
 	if r.worker == nil || list.Incarnation != r.worker.Incarnation {
 		return nil, false
 	}
 	r.updateClock(list.WorkerResponse, now)
-	r.lastList, r.contact.listFailedSince = now, time.Time{}
+	r.lastList = now
 	if !r.adopted {
 		r.checkEarlierDeadline(list.Clock, requestedAt, now)
 	}
 	r.truncated = list.Truncated
-	r.adopted, r.contact.restarted = r.adopted || !list.Truncated, false
+	r.adopted = r.adopted || !list.Truncated
+	if !requestedAt.Before(r.contact.deniedAt) {
+		r.contact.deniedAt = time.Time{}
+	}
+	if !r.contact.restarted() {
+		r.contact.listFailedSince = time.Time{}
+	}
+	// After a request with the token of the session, the worker denies orders of earlier processes.
+	r.knowsRuns = r.knowsRuns || r.session != 0 && !requestedAt.Before(r.sessionAt) && !list.Truncated
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
