End the runs of a worker that never answers a new agent process

A task could stay without a run for as long as its worker did not answer (LOST): an agent that has started again adopts the runs of its worker, and the leader frees them only once the agent has ended them. The agent did so at the end of the worker's lease, which it did not know unless it had granted one.

A worker that has never listed its runs to this process now counts as free of them the longest lease after the first failed request.

Failed before: go test -run TestScripts/worker-unresponsive-after-agent-restart ./internal/agent/runner extra in A "ended:0/1:gone" at the last poll

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -354,9 +354,14 @@
 }
 
 // endExpiredRuns ends the runs of a worker that does not list them, once the worker's own
-// lease has expired.
+// lease has expired. A worker that has never listed its runs may have the longest lease of an earlier agent
+// process.
 func (r *Runner) endExpiredRuns(now time.Time) {
-	if r.contact.listFailedSince.IsZero() || r.workerLeaseEnd.IsZero() || !now.After(r.workerLeaseEnd) {
+	end := r.workerLeaseEnd
+	if end.IsZero() {
+		end = r.contact.listFailedSince.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
+	}
+	if r.contact.listFailedSince.IsZero() || !now.After(end) {
 		return
 	}
 	for _, id := range r.sortedRuns() {
