Stop the runs on a restarted worker before a new agent process frees them

A start can reach a worker that has just started again under its name. The agent that sent it stops such runs before it reports the later incarnation. If the agent is killed too, its successor knows nothing of them: its session for the later incarnation freed all runs while one of them ran there.

A process that follows another one, with a worker that has started again and placed runs, now gets a session for the earlier incarnation first. It can list and stop by its higher fencing token, and gets orders to stop all placed runs but none to start any. Once their ends are recorded the session for the later incarnation opens. The commands and how they are applied are unchanged. A new leader that has not seen such a process report the earlier incarnation handles it in the same way.

--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -93,14 +93,47 @@
 	case session == nil:
 	case session.Process == request.Process && session.Life == request.Worker.Incarnation:
 		return nil, nil
+	case t.isClearing(request, session):
+		if state.HasPlacements(request.VM) || request.Sequence < session.Sequence {
+			return nil, nil
+		}
+		delete(t.clearing, request.VM)
 	case session.Process == request.Process && request.Sequence < session.Sequence,
 		isEarlier(request, session) && t.isLate(request, session):
 		return nil, jaygw.ErrNotConfirmed
 	}
-	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
+	open := &jaygw.OpenSession{
 		VM: request.VM, Process: request.Process, Incarnation: request.Worker.Incarnation, Domain: request.Worker.Domain,
 		Sequence: request.Sequence,
-	}}, nil
+	}
+	if session != nil && session.Process != request.Process && isRestart(session.Life, open.Incarnation) && state.HasPlacements(request.VM) {
+		t.clearing[request.VM] = request.Process
+		open.Incarnation = session.Life
+	}
+	return &jaygw.Command{OpenSession: open}, nil
+}
+
+// isRestart reports whether two incarnations are different ones of one name.
+func isRestart(a, b jaygw.WorkerIncarnation) bool { return a.Name == b.Name && a != b }
+
+// isClearing reports whether a session is still that of the worker's earlier incarnation, because both the
+// agent process and the worker have started again. A start of the earlier process may have reached the later
+// incarnation, so all runs are stopped there before a session for it frees them. A new leader cannot know
+// whether a process has reported the earlier incarnation, and had its runs stopped when it ended.
+func (t *vmTable) isClearing(request jaygw.PollRequest, session *registrar.Session) bool {
+	if session.Process != request.Process || !isRestart(session.Life, request.Worker.Incarnation) {
+		return false
+	}
+	vm := t.vms[request.VM]
+	return t.clearing[request.VM] == request.Process ||
+		vm == nil || vm.session != session.Number || vm.worker.Incarnation != session.Life
+}
+
+// isCurrent reports whether a poll is of the process and the incarnation of a session, or of a process that
+// stops the runs of the earlier incarnation.
+func (t *vmTable) isCurrent(request jaygw.PollRequest, session *registrar.Session) bool {
+	return session != nil && session.Process == request.Process &&
+		(session.Life == request.Worker.Incarnation || t.isClearing(request, session))
 }
 
 // endsBeforeSession returns the command that commits the ends that a poll reports before the poll opens
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -33,6 +33,7 @@
 
 		opening   map[string]bool      // VMs whose session is being opened
 		latePolls map[string]latePolls // refused polls of superseded processes, by VM
+		clearing  map[string]uint64    // processes that stop the runs of an earlier incarnation first, by VM
 	}
 
 	// vmState is the leader's state of a VM: one whose agent has polled in this leadership, or one
@@ -84,7 +85,7 @@
 func newVMTable(lease time.Duration) *vmTable {
 	return &vmTable{
 		vms: map[string]*vmState{}, siblings: siblings{}, leaseDuration: lease, images: estimator.NewImageEffects(), speeds: estimator.NewSpeeds(),
-		advice: newAdviceTable(), opening: map[string]bool{}, latePolls: map[string]latePolls{},
+		advice: newAdviceTable(), opening: map[string]bool{}, latePolls: map[string]latePolls{}, clearing: map[string]uint64{},
 	}
 }
 
@@ -92,6 +93,7 @@
 	t.leads, t.term, t.leaderSince = leads, term, now
 	t.vms, t.siblings = map[string]*vmState{}, siblings{}
 	clear(t.latePolls)
+	clear(t.clearing)
 }
 
 // recordPoll records a poll and returns the command that commits the ends of runs that it reports,
@@ -101,7 +103,7 @@
 	switch {
 	case !t.leads:
 		return nil, jaygw.ErrNotLeader
-	case session == nil || session.Process != request.Process || session.Life != request.Worker.Incarnation:
+	case !t.isCurrent(request, session):
 		return nil, jaygw.ErrNotConfirmed
 	}
 	t.restoreEffects(state, now)
@@ -152,7 +154,7 @@
 	switch {
 	case !t.leads:
 		return jaygw.PollResponse{}, jaygw.ErrNotLeader
-	case vm == nil || session == nil || session.Process != request.Process || session.Life != request.Worker.Incarnation:
+	case vm == nil || !t.isCurrent(request, session):
 		return jaygw.PollResponse{}, jaygw.ErrNotConfirmed
 	case vm.expiring:
 		return jaygw.PollResponse{}, errExpiring
@@ -168,7 +170,7 @@
 	current := map[jaygw.Run]bool{}
 	state.ForEachPlacement(request.VM, func(p *registrar.Placement) {
 		run, ok := state.PlacedRun(p)
-		if !ok || run.WorkflowEnded {
+		if !ok || run.WorkflowEnded || session.Life != request.Worker.Incarnation {
 			return
 		}
 		current[p.Run] = true
@@ -291,7 +293,7 @@
 	var vms []allocator.VM
 	for name, vm := range t.vms {
 		session := state.Session(name)
-		if vm.worker == nil || vm.expiring || session == nil || session.Number != vm.session ||
+		if vm.worker == nil || vm.expiring || session == nil || session.Number != vm.session || session.Life != vm.worker.Incarnation ||
 			vm.worker.Draining || out[vm.worker.Domain] || vm.unhealthy != "" || now.Sub(vm.lastPoll) > maxPollAge ||
 			now.Sub(vm.lastResponse) > maxResponseAge ||
 			t.speeds.Speed(name, now) < slowSpeed {
