--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -359,13 +359,18 @@
 }
 
 // endExpiredRuns ends the runs of a worker that does not list them, once the worker's own
-// lease has expired. Unlisted runs of a worker that has started again may be on the later incarnation.
-// Their deadline was on another clock, so they may have the longest lease there.
+// lease has expired. A worker that has never listed its runs may have the longest lease of an earlier agent
+// process. Unlisted runs of a worker that has started again may be on the later incarnation. Their deadline
+// was on another clock, so they may have the longest lease there.
 func (r *Runner) endExpiredRuns(now time.Time) {
-	if r.contact.listFailedSince.IsZero() || r.workerLeaseEnd.IsZero() || !now.After(r.workerLeaseEnd) {
+	end := r.workerLeaseEnd
+	if end.IsZero() {
+		end = r.contact.listFailedSince.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
+	}
+	if r.contact.listFailedSince.IsZero() || !now.After(end) {
 		return
 	}
-	laterLeaseEnd := r.workerLeaseEnd.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
+	laterLeaseEnd := end.Add(r.longestLease + r.longestLease*clockMarginPercent/100)
 	for _, id := range r.sortedRuns() {
 		if state := r.runs[id]; state.phase != ended && (state.listed || !r.contact.restarted() || now.After(laterLeaseEnd)) {
 			r.markEnded(state, jaygw.EndedRun{
