Simulate attempts with agents, workers and leaders on virtual time

TestRandomAttempts has no restarts that orders in flight survive, no slow clocks, no herd kills and no full lists. TestSimulatedAttempts plays three VMs for 24 s of virtual time: workers with clocks up to 2% slow that start again under their names or fail all that they start, agents that are killed, frozen or cut off, mute workers, leaders that change, kills of all agents at once, and messages that are lost, late or out of order. Each start is judged by the ends that its worker took for recorded while its lease had not lapsed, and each such end has to be counted. Lists are cut at four ends.

--- /dev/null
+++ b/internal/schedule/orchestrator/simulation_test.go
@@ -0,0 +1,521 @@
+package orchestrator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/agent/runner"
+	"github.com/stretchr/testify/require"
+)
+
+type (
+	// simulation runs agents, workers and leaders on virtual time and judges the workers by the promises on
+	// attempts: two runs at a time, a start of a task that is done, or one after too many failures.
+	simulation struct {
+		*harness
+		random   *rand.Rand
+		events   eventQueue
+		counter  int
+		vms      []*simulatedVM
+		term     uint64
+		process  uint64
+		noLeader time.Time // there is no leader before
+		attempts map[string]int
+		starts   []simulatedStart
+		ends     []*simulatedEnd
+		log      []string
+		failed   string
+	}
+
+	// simulatedVM is a VM with an agent process and a worker.
+	simulatedVM struct {
+		name  string
+		agent *runner.Runner // nil while it is down
+		// generation counts the agent processes.
+		generation  int
+		frozenUntil time.Time // of the agent
+		cutUntil    time.Time // no poll and no response passes before
+		muteUntil   time.Time // the worker carries out orders, and its responses are lost
+		pending     []func()  // end the calls whose connections end with the worker
+
+		boot     int
+		up       bool
+		bootAt   time.Time
+		rate     float64 // of the worker's clock
+		failsAll bool
+		fence    uint64
+		leaseEnd time.Duration
+		lapses   int
+		running  map[jaygw.Run]bool
+		highest  map[jaygw.StepTask]uint64
+		ended    []jaygw.NumberedEnd
+		last     uint64
+	}
+
+	simulatedStart struct {
+		run  jaygw.Run
+		ends int // known ends before it
+	}
+
+	// simulatedEnd is the end of a run that is done or has failed.
+	simulatedEnd struct {
+		vm      *simulatedVM
+		boot    int
+		number  uint64
+		lapses  int
+		run     jaygw.Run
+		outcome jaygw.RunOutcome
+		noted   bool
+	}
+
+	event struct {
+		at      time.Time
+		counter int
+		do      func()
+	}
+
+	eventQueue []event
+)
+
+const (
+	simulatedFaults = 10 * time.Second // time in which faults begin
+	simulatedTime   = 24 * time.Second
+	simulatedLimit  = 4 // ends in a list
+	// simulatedLongLimit is that of the first list after a restart, when few runs can have ended.
+	simulatedLongLimit = 500
+	simulatedOrder     = 500 * time.Millisecond
+)
+
+func (q eventQueue) Len() int      { return len(q) }
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].counter < q[j].counter
+}
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// after calls a function once a time has passed.
+func (s *simulation) after(d time.Duration, do func()) {
+	s.counter++
+	heap.Push(&s.events, event{at: s.now.Add(d), counter: s.counter, do: do})
+}
+
+func (s *simulation) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Int64N(int64(high-low)))
+}
+
+func (s *simulation) percent(p int) bool { return s.random.IntN(100) < p }
+
+func (s *simulation) logf(format string, args ...any) {
+	s.log = append(s.log, s.now.Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// inAgent calls a function in an agent process, after a freeze, unless the process has ended.
+func (s *simulation) inAgent(vm *simulatedVM, generation int, do func()) {
+	switch {
+	case vm.agent == nil || vm.generation != generation:
+	case s.now.Before(vm.frozenUntil):
+		s.after(vm.frozenUntil.Sub(s.now)+s.between(0, 5*time.Millisecond), func() { s.inAgent(vm, generation, do) })
+	default:
+		do()
+	}
+}
+
+// every calls a function in an agent process again and again.
+func (s *simulation) every(vm *simulatedVM, low, high time.Duration, do func()) {
+	generation := vm.generation
+	var loop func()
+	loop = func() {
+		do()
+		s.after(s.between(low, high), func() { s.inAgent(vm, generation, loop) })
+	}
+	s.after(s.between(0, low), func() { s.inAgent(vm, generation, loop) })
+}
+
+func (s *simulation) startAgent(vm *simulatedVM) {
+	s.process++
+	vm.generation++
+	vm.agent = runner.New(vm.name, s.process, 10*time.Second)
+	s.logf("%s: agent process %d", vm.name, s.process)
+	s.every(vm, 30*time.Millisecond, 250*time.Millisecond, func() { s.poll(vm) })
+	s.every(vm, 90*time.Millisecond, 110*time.Millisecond, func() { s.perform(vm, vm.agent.DueStops(s.now)) })
+	generation := vm.generation
+	s.after(0, func() { s.inAgent(vm, generation, func() { s.list(vm) }) })
+}
+
+func (s *simulation) stopAgent(vm *simulatedVM) {
+	if vm.agent == nil {
+		return
+	}
+	vm.agent, vm.frozenUntil = nil, time.Time{}
+	s.after(s.between(20*time.Millisecond, 800*time.Millisecond), func() {
+		if vm.agent == nil {
+			s.startAgent(vm)
+		}
+	})
+}
+
+// delay is that of a message, which is rarely late.
+func (s *simulation) delay() time.Duration {
+	if s.percent(4) {
+		return s.between(100*time.Millisecond, 3*time.Second)
+	}
+	return s.between(0, 5*time.Millisecond)
+}
+
+// call sends an order to a worker. The boot that receives it carries it out, maybe late, and its response
+// may be lost.
+func (s *simulation) call(vm *simulatedVM, wait time.Duration, carryOut func(), respond func(err error)) {
+	generation := vm.generation
+	responded := false
+	answer := func(err error) func() {
+		return func() {
+			s.inAgent(vm, generation, func() {
+				if !responded {
+					responded = true
+					respond(err)
+				}
+			})
+		}
+	}
+	s.after(simulatedOrder, answer(errNoResponse))
+	s.after(s.between(0, 2*time.Millisecond), func() {
+		if !vm.up {
+			answer(errNoResponse)()
+			return
+		}
+		vm.pending = append(vm.pending, answer(errNoResponse))
+		boot, lateness := vm.boot, wait
+		if s.percent(5) {
+			lateness = s.between(0, 4*time.Second)
+		}
+		s.after(lateness, func() {
+			if !vm.up || vm.boot != boot {
+				answer(errNoResponse)()
+				return
+			}
+			carryOut()
+			if !s.now.Before(vm.muteUntil) && !s.percent(3) {
+				s.after(s.between(0, 3*time.Millisecond), answer(nil))
+			}
+		})
+	})
+}
+
+func (s *simulation) isCurrent(vm *simulatedVM, incarnation jaygw.WorkerIncarnation) bool {
+	return vm.agent.Worker() != nil && vm.agent.Worker().Incarnation == incarnation
+}
+
+// perform sends orders as the poller does.
+func (s *simulation) perform(vm *simulatedVM, actions []runner.Action) {
+	generation := vm.generation
+	for _, action := range actions {
+		s.after(s.between(0, 2*time.Millisecond), func() {
+			s.inAgent(vm, generation, func() {
+				if vm.agent.Worker() == nil {
+					return
+				}
+				incarnation := vm.agent.Worker().Incarnation
+				switch {
+				case action.Stop != nil:
+					s.stop(vm, *action.Stop, incarnation)
+				case action.Start != nil:
+					s.start(vm, action, incarnation)
+				}
+			})
+		})
+	}
+}
+
+func (s *simulation) stop(vm *simulatedVM, run jaygw.Run, incarnation jaygw.WorkerIncarnation) {
+	var response jaygw.WorkerResponse
+	fence := vm.agent.Session()
+	s.call(vm, 0, func() { response.Denied, response.Clock = s.stopRun(vm, run, fence), vm.clock(s.now) }, func(err error) {
+		if s.isCurrent(vm, incarnation) {
+			vm.agent.Stopped(run, response, err, s.now)
+		}
+	})
+}
+
+func (s *simulation) start(vm *simulatedVM, action runner.Action, incarnation jaygw.WorkerIncarnation) {
+	run := action.Start.Run
+	deadline, ok := vm.agent.Admit(run, action.StartBy, s.now)
+	if !ok {
+		return
+	}
+	order := jaygw.WorkerStart{Run: run, Deadline: deadline, Fence: vm.agent.Session()}
+	var response jaygw.WorkerResponse
+	s.call(vm, 0, func() { response.Denied, response.Clock = s.startRun(vm, order), vm.clock(s.now) }, func(err error) {
+		if s.isCurrent(vm, incarnation) {
+			s.perform(vm, vm.agent.Started(run, response, err, s.now))
+		}
+	})
+}
+
+// list requests lists from the worker, one after the other.
+func (s *simulation) list(vm *simulatedVM) {
+	generation := vm.generation
+	again := func(d time.Duration) {
+		s.after(d, func() { s.inAgent(vm, generation, func() { s.list(vm) }) })
+	}
+	if vm.agent.Idle() {
+		again(s.between(0, 30*time.Millisecond))
+		return
+	}
+	incarnation, extension, requested := vm.agent.Worker().Incarnation, vm.agent.ListRequest(s.now, 0), s.now
+	var list jaygw.RunList
+	s.call(vm, s.between(0, 100*time.Millisecond), func() { list = s.hold(vm, incarnation, extension, simulatedLimit) }, func(err error) {
+		if s.isCurrent(vm, incarnation) {
+			if err != nil {
+				vm.agent.ListFailed(s.now)
+			} else {
+				actions, changed := vm.agent.Listed(list, requested, s.now)
+				s.perform(vm, actions)
+				if changed {
+					s.poll(vm)
+				}
+			}
+		}
+		again(s.between(time.Millisecond, 30*time.Millisecond))
+	})
+}
+
+// heartbeat handles a report of the worker as the poller does.
+func (s *simulation) heartbeat(vm *simulatedVM, reported jaygw.WorkerIncarnation, clock time.Duration) {
+	current := vm.agent.Worker()
+	if current == nil || current.Incarnation != reported {
+		if !vm.up {
+			return
+		}
+		list := s.hold(vm, reported, jaygw.LeaseExtension{Fence: vm.agent.Session()}, simulatedLongLimit)
+		if current != nil && list.Denied != "" || list.Incarnation != reported {
+			return
+		}
+		if runs := vm.agent.Restarted(reported); len(runs) > 0 {
+			for _, run := range runs {
+				if denied := s.stopRun(vm, run, vm.agent.Session()); denied != "" {
+					return
+				}
+			}
+			list := s.hold(vm, reported, jaygw.LeaseExtension{Fence: vm.agent.Session()}, simulatedLongLimit)
+			vm.agent.EndUnlisted(list.Ended, s.now)
+			if slices.ContainsFunc(list.Running, func(r jaygw.RunningRun) bool { return slices.Contains(runs, r.Run) }) {
+				return
+			}
+		}
+	}
+	vm.agent.Report(jaygw.PoolWorker{
+		Incarnation: reported, Service: "s", Domain: "d", Size: jaygw.Resources{CPU: 8 * jaygw.Core, Memory: 8 * jaygw.GB},
+	}, clock, s.now)
+}
+
+// poll sends a poll, which the leader handles when it arrives.
+func (s *simulation) poll(vm *simulatedVM) {
+	request, ok := vm.agent.PollRequest(s.now, 0)
+	if !ok || s.now.Before(vm.cutUntil) {
+		return
+	}
+	generation := vm.generation
+	s.after(s.delay(), func() {
+		if s.now.Before(s.noLeader) || s.percent(3) {
+			return
+		}
+		response, ok := s.handle(request)
+		if !ok || s.now.Before(vm.cutUntil) || s.percent(3) {
+			return
+		}
+		s.after(s.delay(), func() {
+			s.inAgent(vm, generation, func() { s.perform(vm, vm.agent.HandleResponse(response, s.now)) })
+		})
+	})
+}
+
+// handle lets the leader handle a poll, and reports whether it responds.
+func (s *simulation) handle(request jaygw.PollRequest) (jaygw.PollResponse, bool) {
+	command, err := s.table.sessionCommand(request, s.state)
+	if err != nil {
+		return jaygw.PollResponse{}, false
+	}
+	if command != nil {
+		s.apply(endsBeforeSession(request))
+		s.apply(command)
+	}
+	command, err = s.table.recordPoll(request, s.state, s.now)
+	if err != nil {
+		return jaygw.PollResponse{}, false
+	}
+	s.apply(command)
+	response, err := s.table.buildResponse(request, s.state, s.now, s.now)
+	return response, err == nil
+}
+
+func (s *simulation) decideRepeatedly() {
+	if !s.now.Before(s.noLeader) {
+		s.decide()
+	}
+	s.after(s.between(5*time.Millisecond, 100*time.Millisecond), s.decideRepeatedly)
+}
+
+func (s *simulation) changeLeader() {
+	s.noLeader = s.now.Add(s.between(100*time.Millisecond, 2500*time.Millisecond))
+	s.term++
+	term := s.term
+	s.table.setLeadership(term, false, s.now)
+	s.after(s.noLeader.Sub(s.now), func() {
+		if term == s.term {
+			s.table.setLeadership(term, true, s.now)
+		}
+	})
+}
+
+func (s *simulation) restartWorker(vm *simulatedVM) {
+	if !vm.up {
+		return
+	}
+	vm.up, vm.running, vm.ended = false, nil, nil
+	for _, end := range vm.pending {
+		end()
+	}
+	vm.pending = nil
+	s.logf("%s: worker down", vm.name)
+	s.after(s.between(time.Millisecond, 400*time.Millisecond), func() { s.bootWorker(vm) })
+}
+
+func (s *simulation) fault() {
+	if s.now.Sub(time.Unix(1000, 0)) > simulatedFaults {
+		return
+	}
+	vm := s.vms[s.random.IntN(len(s.vms))]
+	switch s.random.IntN(8) {
+	case 0:
+		s.stopAgent(vm)
+	case 1:
+		vm.frozenUntil = s.now.Add(s.between(200*time.Millisecond, 7*time.Second))
+	case 2, 3:
+		s.restartWorker(vm)
+	case 4:
+		s.changeLeader()
+	case 5:
+		vm.cutUntil = s.now.Add(s.between(500*time.Millisecond, 7*time.Second))
+	case 6:
+		vm.muteUntil = s.now.Add(s.between(200*time.Millisecond, 6*time.Second))
+	case 7:
+		s.changeLeader()
+		for _, vm := range s.vms {
+			s.stopAgent(vm)
+			if s.percent(50) {
+				s.restartWorker(vm)
+			}
+		}
+	}
+	s.after(s.between(50*time.Millisecond, 1500*time.Millisecond), s.fault)
+}
+
+func (s *simulation) submitRepeatedly(number int) {
+	id := fmt.Sprint("w", number)
+	first, second := step(3), step(2)
+	second.After, second.Gang = []int{0}, number%2 == 1
+	s.submit(id, first, second)
+	s.attempts[id] = 1 + s.random.IntN(3)
+	s.state.Workflow(id).Queue.MaxAttempts = s.attempts[id]
+	if s.now.Sub(time.Unix(1000, 0)) < simulatedFaults {
+		s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() { s.submitRepeatedly(number + 1) })
+	}
+}
+
+// judge checks the starts and the counted failures once all ends are known.
+func (s *simulation) judge() string {
+	for _, start := range s.starts {
+		failed := 0
+		for _, end := range s.ends[:start.ends] {
+			switch {
+			case end.run.Task != start.run.Task || !end.noted:
+			case end.outcome == jaygw.RunDone:
+				return fmt.Sprintf("run %d of %s starts after run %d was done", start.run.Number, start.run.Task, end.run.Number)
+			case end.outcome == jaygw.RunFailed:
+				failed++
+			}
+		}
+		if failed >= s.attempts[start.run.Task.Workflow] {
+			return fmt.Sprintf("run %d of %s starts after %d failures", start.run.Number, start.run.Task, failed)
+		}
+	}
+	for _, end := range s.ends {
+		w := s.state.Workflow(end.run.Task.Workflow)
+		if !end.noted || w.State.Ended() {
+			continue
+		}
+		task := w.Occurrences[0].Steps[end.run.Task.Step].Tasks[end.run.Task.Index]
+		if end.outcome == jaygw.RunDone && !task.Done {
+			return fmt.Sprintf("run %d of %s was done, which is not recorded", end.run.Number, end.run.Task)
+		}
+		if end.outcome == jaygw.RunFailed && !task.Done && !slices.Contains(task.FailedRuns, end.run.Number) {
+			return fmt.Sprintf("run %d of %s has failed, which is not counted", end.run.Number, end.run.Task)
+		}
+	}
+	for _, vm := range s.vms {
+		if len(vm.ended) > 0 {
+			return fmt.Sprintf("%s still lists %d ends", vm.name, len(vm.ended))
+		}
+	}
+	return ""
+}
+
+// simulate plays one seed and returns the promise that was broken, if any, with the log.
+func simulate(tb testing.TB, seed uint64) (broken string, log []string) {
+	s := &simulation{harness: newHarness(tb), random: rand.New(rand.NewPCG(seed, 0)), term: 1, attempts: map[string]int{}}
+	for _, name := range []string{"a", "b", "c"} {
+		vm := &simulatedVM{name: name}
+		s.vms = append(s.vms, vm)
+		s.bootWorker(vm)
+		s.startAgent(vm)
+	}
+	s.decideRepeatedly()
+	s.submitRepeatedly(0)
+	s.after(time.Second, s.fault)
+	for s.now.Sub(time.Unix(1000, 0)) < simulatedTime && s.failed == "" {
+		next := heap.Pop(&s.events).(event)
+		s.now = next.at
+		next.do()
+	}
+	if s.failed != "" {
+		return s.failed, s.log
+	}
+	return s.judge(), s.log
+}
+
+func environmentInt(name string, fallback int) int {
+	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return value
+	}
+	return fallback
+}
+
+// TestSimulatedAttempts guards against two runs of a task at a time, starts after an end that the worker
+// considers recorded, and ends that are forgotten without being recorded. Processes and workers are killed,
+// frozen, cut off and mute, and messages are lost, late and out of order.
+func TestSimulatedAttempts(t *testing.T) {
+	first, seeds := environmentInt("JAYGW_SEED", 1), environmentInt("JAYGW_CHECKS", 200)
+	for seed := first; seed < first+seeds; seed++ {
+		broken, log := simulate(t, uint64(seed))
+		if broken != "" {
+			t.Log(strings.Join(log, "\n"))
+		}
+		require.Empty(t, broken, "JAYGW_SEED=%d JAYGW_CHECKS=1", seed)
+	}
+}
