Start all members of a gang's run from the checkpoint of the grant

An order to start took the checkpoint that the task had when the order was built, and the end of any member stores its checkpoint for the whole gang. A member whose start was sent, or sent again, after another member of its run had ended or its VM was lost started from another checkpoint than those before it.

A grant now records the checkpoint, and each order for the run carries that one.

--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -196,7 +196,7 @@
 	s.Held++
 	w.Runs++
 	w.State = jaygw.WorkflowRunning
-	r.addPlaced(&Placement{Run: g.Run, VM: g.VM, Session: g.Session, Since: now, Ticket: g.Ticket})
+	r.addPlaced(&Placement{Run: g.Run, VM: g.VM, Session: g.Session, Since: now, Ticket: g.Ticket, Checkpoint: task.Checkpoint})
 	r.onChange(g.VM)
 	return ""
 }
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -84,6 +84,8 @@
 		// Stopping is set once the run is to be stopped.
 		Stopping bool
 		Ticket   string // ticket of the grant, for runs of an advised queue
+		// Checkpoint is that of the task at the grant. All members of a gang start from the same one.
+		Checkpoint string `cbor:",omitempty"`
 	}
 
 	// Session is the latest agent process on a VM with the incarnation of its worker.
@@ -184,10 +186,10 @@
 		return jaygw.PlacedRun{}, false
 	}
 	placed := jaygw.PlacedRun{
-		Run: p.Run, VM: p.VM, Since: p.Since, Step: &w.Spec.Steps[p.Run.Task.Step], Payload: w.Spec.Payload, WorkflowEnded: w.State.Ended(),
+		Run: p.Run, VM: p.VM, Since: p.Since, Step: &w.Spec.Steps[p.Run.Task.Step], Payload: w.Spec.Payload, Checkpoint: p.Checkpoint,
+		WorkflowEnded: w.State.Ended(),
 	}
 	if task := w.task(p.Run.Task); task != nil {
-		placed.Checkpoint = task.Checkpoint
 		placed.WorkflowEnded = placed.WorkflowEnded || task.Done || p.Stopping
 	}
 	return placed, true
--- a/workflow.go
+++ b/workflow.go
@@ -129,7 +129,7 @@
 		Step  *Step
 		// Payload is that of the workflow.
 		Payload string
-		// Checkpoint is the task's latest stored one; empty if there is none.
+		// Checkpoint is where the run starts; empty to start from the beginning.
 		Checkpoint string
 		// WorkflowEnded is set if the run is to be stopped: its workflow has ended, its task is done
 		// or the leader has decided to stop it.
