Say in the log why a start is held back, and whether a stop has taken effect

"agent: start decided" had no reason and did not say whether an earlier agent process may have started the run; starts that a response ordered and that led to no order left no line; "agent: run stopped" was logged for denied and failed stops, without the session, the worker and the cause.

"agent: start decided" now has reason and inherited, and there is one for each start of a response, also for a response that does not count. "agent: run stopped" means that the worker has stopped the run or does not start it any more; any other result is "agent: stop not confirmed". Both name session, worker, incarnation and cause, also for the stops that precede the report of a later incarnation.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -22,7 +22,7 @@
 		case action.Pace != nil:
 			a.goroutines.Go(func() { a.pace(ctx, *action.Pace) })
 		default:
-			a.goroutines.Go(func() { a.stop(ctx, *action.Stop) })
+			a.goroutines.Go(func() { a.stop(ctx, *action.Stop, action.Cause) })
 		}
 	}
 }
@@ -30,14 +30,12 @@
 func (a *Poller) start(ctx context.Context, order jaygw.StartOrder, startBy time.Time) {
 	a.mu.Lock()
 	now := a.now()
-	deadline, ok := a.runner.Admit(order.Run, startBy, now)
+	decision, ok := a.runner.Admit(order.Run, startBy, now)
 	incarnation, fence := a.incarnation()
-	leaseLeft, clockAge := a.runner.LeaseLeft(now), a.runner.ClockAge(now)
+	fields := a.startFields(order, startBy, now)
 	a.mu.Unlock()
-	a.log.WithFields(logrus.Fields{
-		"task": order.Run.Task.String(), "run": order.Run.Number, "admitted": ok, "session": fence,
-		"worker": incarnation.Name, "born": int64(incarnation.StartTime), "permit-left": startBy.Sub(now).String(),
-		"lease-left": leaseLeft.String(), "clock-age": clockAge.String(), "deadline": deadline.String(), "checkpoint": order.Checkpoint,
+	a.log.WithFields(fields).WithFields(logrus.Fields{
+		"admitted": ok, "reason": decision.Refusal, "inherited": decision.Inherited, "deadline": decision.Deadline.String(),
 	}).Info("agent: start decided")
 	if !ok {
 		notify(a.reportReady)
@@ -46,7 +44,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	reply, err := a.worker.Start(callCtx, incarnation, jaygw.WorkerStart{
-		Run: order.Run, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Deadline: deadline, Fence: fence,
+		Run: order.Run, Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, Deadline: decision.Deadline, Fence: fence,
 	})
 	a.count("starts." + outcome(reply, err))
 	if err != nil || reply.Denied != "" {
@@ -67,7 +65,24 @@
 	}
 }
 
-func (a *Poller) stop(ctx context.Context, run jaygw.Run) {
+// startFields returns the fields of a log line about a start: what is known, and how old it is.
+func (a *Poller) startFields(order jaygw.StartOrder, startBy, now time.Time) logrus.Fields {
+	incarnation, session := a.incarnation()
+	return logrus.Fields{
+		"task": order.Run.Task.String(), "run": order.Run.Number, "session": session,
+		"worker": incarnation.Name, "born": int64(incarnation.StartTime), "permit-left": startBy.Sub(now).String(),
+		"lease-left": a.runner.LeaseLeft(now).String(), "clock-age": a.runner.ClockAge(now).String(), "checkpoint": order.Checkpoint,
+	}
+}
+
+// logDrops logs the starts that a response has ordered and that lead to no action.
+func (a *Poller) logDrops(drops []runner.Drop, fields []logrus.Fields) {
+	for i, drop := range drops {
+		a.log.WithFields(fields[i]).WithFields(logrus.Fields{"admitted": false, "reason": drop.Reason}).Info("agent: start decided")
+	}
+}
+
+func (a *Poller) stop(ctx context.Context, run jaygw.Run, cause string) {
 	a.mu.Lock()
 	incarnation, fence := a.incarnation()
 	a.mu.Unlock()
@@ -79,13 +94,30 @@
 		a.runner.Stopped(run, reply, err, a.now())
 	}
 	a.mu.Unlock()
-	a.count("stops." + outcome(reply, err))
-	a.log.WithFields(logrus.Fields{
-		"task": run.Task.String(), "run": run.Number, "denied": string(reply.Denied), "error": errorText(err),
-	}).Info("agent: run stopped")
+	a.logStop(run, incarnation, fence, cause, reply, err)
 	notify(a.listDue)
 }
 
+// logStop counts and logs the result of a stop.
+func (a *Poller) logStop(run jaygw.Run, incarnation jaygw.WorkerIncarnation, fence uint64, cause string, reply jaygw.WorkerResponse, err error) {
+	a.count("stops." + outcome(reply, err))
+	log := a.log.WithFields(logrus.Fields{
+		"task": run.Task.String(), "run": run.Number, "session": fence, "worker": incarnation.Name, "born": int64(incarnation.StartTime),
+		"cause": cause, "denied": string(reply.Denied), "error": errorText(err),
+	})
+	if isStopped(reply, err) {
+		log.Info("agent: run stopped")
+	} else {
+		log.Warn("agent: stop not confirmed")
+	}
+}
+
+// isStopped reports whether the worker does not start the run any more. It denies the stop of a run that
+// it has stopped or ended before.
+func isStopped(reply jaygw.WorkerResponse, err error) bool {
+	return err == nil && (reply.Denied == "" || reply.Denied == jaygw.DeniedStale)
+}
+
 // stopRunsOfEarlier stops the runs whose orders were for the earlier incarnation and may have reached
 // the later one, of which list is the first list. The leader frees them once the later incarnation is
 // reported, so they must not run then. It returns the last list.
@@ -107,10 +139,11 @@
 	}).Info("agent: worker restarted with starts unlisted")
 	for _, run := range runs {
 		reply, err := a.worker.Stop(ctx, later, run, fence)
+		a.logStop(run, later, fence, "the worker has started again", reply, err)
 		if err != nil {
 			return list, eris.Wrap(err, "stop a run of the earlier incarnation")
 		}
-		if reply.Denied != "" && reply.Denied != jaygw.DeniedStale {
+		if !isStopped(reply, err) {
 			return list, eris.Errorf("the worker refuses to stop a run of its earlier incarnation: %s", reply.Denied)
 		}
 	}
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -242,8 +242,15 @@
 		metrics.GetOrRegisterTimer("agent.report.time", a.registry).UpdateSince(start)
 	}
 	a.mu.Lock()
-	actions := a.runner.HandleResponse(result, a.now())
+	now := a.now()
+	actions := a.runner.HandleResponse(result, now)
+	drops := a.runner.Drops()
+	fields := make([]logrus.Fields, len(drops))
+	for i, drop := range drops {
+		fields[i] = a.startFields(drop.Order, drop.StartBy, now)
+	}
 	a.mu.Unlock()
+	a.logDrops(drops, fields)
 	a.perform(ctx, actions)
 	notify(a.listDue)
 	return nil
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -30,6 +30,7 @@
 		clockAt time.Time     // when that reading arrived
 
 		runs            map[jaygw.Run]*run
+		drops           []Drop // starts of the latest response that were dropped
 		pacer           *pacer.Pacer
 		settled         map[jaygw.Run]time.Time // runs whose end the leader has recorded, with the time of its response
 		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
@@ -56,6 +57,7 @@
 		progress    int
 		checkpoint  string
 		listed      bool      // whether the worker has listed it
+		stopCause   string    // why it is stopped
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
 		endSequence uint64 // number of the latest poll when the end became known; later polls report it
@@ -74,6 +76,21 @@
 		Stop    *jaygw.Run
 		Pace    *pacer.Pace
 		StartBy time.Time // when the permit of a start expires
+		Cause   string    // why a run is stopped
+	}
+
+	// StartDecision says whether a start is sent to the worker.
+	StartDecision struct {
+		Deadline  time.Duration // on the worker's clock; zero if the start is refused
+		Refusal   string        // why it is not sent; empty if it is
+		Inherited bool          // whether an earlier agent process may have started the run
+	}
+
+	// Drop is a start order that led to no action.
+	Drop struct {
+		Order   jaygw.StartOrder
+		StartBy time.Time
+		Reason  string
 	}
 )
 
@@ -101,6 +118,9 @@
 	// sentRetention is how long a poll without a response is remembered.
 	sentRetention = time.Minute
 
+	// reasonDraining is why a draining worker gets no start.
+	reasonDraining = "the worker drains"
+
 	// clockMarginPercent is the assumed drift of a slow worker clock. It includes one
 	// percentage point of reserve.
 	clockMarginPercent = 3
@@ -191,13 +211,14 @@
 
 // HandleResponse handles the response to a poll and returns the actions to perform.
 func (r *Runner) HandleResponse(result jaygw.PollResponse, now time.Time) []Action {
+	r.drops = nil
 	sent, ok := r.sent[result.Sequence]
 	if !ok || r.worker == nil {
-		return nil
+		return r.dropAll(result.Starts, now, "the response is to a poll of an earlier incarnation")
 	}
 	delete(r.sent, result.Sequence)
 	if result.Session < r.session {
-		return nil // the response belongs to an earlier session
+		return r.dropAll(result.Starts, now, "the response belongs to an earlier session")
 	}
 	if result.Session > r.session {
 		r.session, r.sessionAt = result.Session, now
@@ -219,7 +240,7 @@
 	}
 	var actions []Action
 	for _, id := range result.Stops {
-		if stop := r.stop(id, now); stop != nil {
+		if stop := r.stop(id, "the leader", now); stop != nil {
 			actions = append(actions, *stop)
 		}
 	}
@@ -233,45 +254,79 @@
 
 // start adds a run and returns the action that starts it, or nil if the run must not start.
 func (r *Runner) start(order jaygw.StartOrder, sent, now time.Time) *Action {
-	id := order.Run
-	if _, settled := r.settled[id]; settled || r.runs[id] != nil {
+	id, startBy := order.Run, sent.Add(order.ValidFor)
+	drop := func(reason string) *Action {
+		r.drops = append(r.drops, Drop{Order: order, StartBy: startBy, Reason: reason})
 		return nil
 	}
+	if _, settled := r.settled[id]; settled {
+		return drop("its end is recorded")
+	}
+	if r.runs[id] != nil {
+		return drop("it is known")
+	}
 	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != "", inherited: !r.adopted}
-	startBy := sent.Add(order.ValidFor)
 	if !now.Before(startBy) {
-		return nil // the next response carries a new permit
+		return drop("the permit was over on arrival") // the next response carries a new one
 	}
 	r.runs[id] = state
 	if r.worker.Draining {
-		r.giveUp(id, state, "the worker drains", now)
-		return nil
+		r.giveUp(id, state, reasonDraining, now)
+		return drop(reasonDraining)
 	}
 	return &Action{Start: &order, StartBy: startBy}
 }
 
-// Admit checks a start again immediately before the worker is called, and returns its
-// deadline on the worker's clock.
-func (r *Runner) Admit(id jaygw.Run, startBy, now time.Time) (time.Duration, bool) {
-	state := r.runs[id]
-	if state == nil || state.phase != starting {
-		return 0, false
+// dropAll drops the starts of a response that does not count.
+func (r *Runner) dropAll(starts []jaygw.StartOrder, now time.Time, reason string) []Action {
+	for _, order := range starts {
+		r.drops = append(r.drops, Drop{Order: order, StartBy: now, Reason: reason})
 	}
-	if r.contact.restarted() {
-		// The leader still counts the run to the earlier incarnation and will free it.
-		r.giveUp(id, state, "the worker has started again", now)
-		return 0, false
+	return nil
+}
+
+// Drops returns the starts of the latest response that were dropped.
+func (r *Runner) Drops() []Drop { return r.drops }
+
+// Admit checks a start again immediately before the worker is called, and returns the decision and
+// whether the start is admitted.
+func (r *Runner) Admit(id jaygw.Run, startBy, now time.Time) (StartDecision, bool) {
+	state := r.runs[id]
+	if state == nil {
+		return StartDecision{Refusal: "it has been forgotten"}, false
 	}
-	if r.worker.Draining || !now.Before(startBy) || !now.Before(r.leaseEnd) {
-		r.giveUp(id, state, "the permit is over", now)
-		return 0, false
+	decision := StartDecision{Refusal: r.startRefusal(state, startBy, now), Inherited: state.inherited}
+	if decision.Refusal != "" {
+		if state.phase == starting {
+			r.giveUp(id, state, decision.Refusal, now)
+		}
+		return decision, false
 	}
 	end := now.Add(startWindow)
 	if r.leaseEnd.Before(end) {
 		end = r.leaseEnd
 	}
 	r.extendWorkerLease(end)
-	return r.workerTime(end), true
+	decision.Deadline = r.workerTime(end)
+	return decision, true
+}
+
+// startRefusal returns why a start must not be sent, or an empty string.
+func (r *Runner) startRefusal(state *run, startBy, now time.Time) string {
+	switch {
+	case state.phase != starting:
+		return "it is not starting any more"
+	case r.contact.restarted():
+		// The leader still counts the run to the earlier incarnation and will free it.
+		return "the worker has started again"
+	case r.worker.Draining:
+		return reasonDraining
+	case !now.Before(startBy):
+		return "the permit is over"
+	case !now.Before(r.leaseEnd):
+		return "the lease is over"
+	}
+	return ""
 }
 
 // Started handles the result of a start and returns the actions to perform: a spare run gets its
@@ -294,7 +349,7 @@
 	return nil
 }
 
-func (r *Runner) stop(id jaygw.Run, now time.Time) *Action {
+func (r *Runner) stop(id jaygw.Run, cause string, now time.Time) *Action {
 	if _, settled := r.settled[id]; settled {
 		return nil
 	}
@@ -305,8 +360,8 @@
 	} else if state.phase >= stopping {
 		return nil
 	}
-	state.phase, state.since, state.retryStopAt = stopping, now, time.Time{}
-	return &Action{Stop: &id}
+	state.phase, state.since, state.retryStopAt, state.stopCause = stopping, now, time.Time{}, cause
+	return &Action{Stop: &id, Cause: cause}
 }
 
 // Stopped handles the result of a stop. A stop that has no response or was denied is sent again,
@@ -331,12 +386,12 @@
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
 		if state.phase <= running && now.After(r.leaseEnd) {
-			actions = append(actions, *r.stop(id, now))
+			actions = append(actions, *r.stop(id, "the lease is over", now))
 			continue
 		}
 		if state.phase == stopping && !state.retryStopAt.IsZero() && !now.Before(state.retryStopAt) {
 			state.retryStopAt = time.Time{}
-			actions = append(actions, Action{Stop: &id})
+			actions = append(actions, Action{Stop: &id, Cause: state.stopCause})
 		}
 	}
 	r.endExpiredRuns(now)
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -102,8 +102,8 @@
 		in.response(args, now)
 	case "admit":
 		run := in.run(args[0])
-		if deadline, ok := in.runner.Admit(run, in.starts[run], now); ok {
-			in.results = append(in.results, "deadline:"+deadline.Round(10*time.Millisecond).String())
+		if decision, ok := in.runner.Admit(run, in.starts[run], now); ok {
+			in.results = append(in.results, "deadline:"+decision.Deadline.Round(10*time.Millisecond).String())
 		}
 	case "started":
 		reply, err := in.reply(args[1], elapsed)
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -224,7 +224,7 @@
 		switch {
 		case state.phase == startUnknown:
 			// The worker may still execute the start; a stop prevents it.
-			actions = append(actions, *r.stop(id, now))
+			actions = append(actions, *r.stop(id, "its start is not confirmed", now))
 		case list.Truncated:
 		case state.phase == stopped:
 			r.markEnded(state, jaygw.EndedRun{Run: id, Outcome: jaygw.RunNotStarted, Reason: "stopped before it was there"}, now)
--- a/internal/schedule/orchestrator/attempts_test.go
+++ b/internal/schedule/orchestrator/attempts_test.go
@@ -178,11 +178,11 @@
 		if action.Start == nil {
 			continue
 		}
-		deadline, ok := a.runner.Admit(action.Start.Run, action.StartBy, e.now)
+		decision, ok := a.runner.Admit(action.Start.Run, action.StartBy, e.now)
 		if !ok {
 			continue
 		}
-		order := jaygw.WorkerStart{Run: action.Start.Run, Deadline: deadline, Fence: a.runner.Session()}
+		order := jaygw.WorkerStart{Run: action.Start.Run, Deadline: decision.Deadline, Fence: a.runner.Session()}
 		denied := jaygw.DeniedUnhealthy
 		switch fate {
 		case "late":
