--- a/internal/schedule/orchestrator/attempts_test.go
+++ b/internal/schedule/orchestrator/attempts_test.go
@@ -281,12 +281,12 @@
 		if action.Start == nil {
 			continue
 		}
-		deadline, ok := a.runner.Admit(action.Start.Run, action.StartBy, e.now)
+		decision, ok := a.runner.Admit(action.Start.Run, action.StartBy, e.now)
 		if !ok {
 			continue
 		}
 		order := jaygw.WorkerStart{
-			Run: action.Start.Run, Payload: action.Start.Payload, Checkpoint: action.Start.Checkpoint, Deadline: deadline, Fence: a.runner.Session(),
+			Run: action.Start.Run, Payload: action.Start.Payload, Checkpoint: action.Start.Checkpoint, Deadline: decision.Deadline, Fence: a.runner.Session(),
 		}
 		switch fate {
 		case "late":
--- a/internal/schedule/orchestrator/simulated_worker_test.go
+++ b/internal/schedule/orchestrator/simulated_worker_test.go
@@ -147,7 +147,7 @@
 		vm.ended = vm.ended[1:]
 	}
 	list.Ended = slices.Clone(vm.ended[:min(len(vm.ended), limit)])
-	list.Cut = len(list.Ended) == limit
+	list.Truncated = len(list.Ended) == limit
 	for run := range vm.running {
 		list.Running = append(list.Running, jaygw.RunningRun{Run: run})
 	}
--- a/internal/schedule/orchestrator/simulation_test.go
+++ b/internal/schedule/orchestrator/simulation_test.go
@@ -254,11 +254,11 @@
 
 func (s *simulation) start(vm *simulatedVM, action runner.Action, incarnation jaygw.WorkerIncarnation) {
 	run := action.Start.Run
-	deadline, ok := vm.agent.Admit(run, action.StartBy, s.now)
+	decision, ok := vm.agent.Admit(run, action.StartBy, s.now)
 	if !ok {
 		return
 	}
-	order := jaygw.WorkerStart{Run: run, Deadline: deadline, Fence: vm.agent.Session()}
+	order := jaygw.WorkerStart{Run: run, Deadline: decision.Deadline, Fence: vm.agent.Session()}
 	var response jaygw.WorkerResponse
 	s.call(vm, 0, func() { response.Denied, response.Clock = s.startRun(vm, order), vm.clock(s.now) }, func(err error) {
 		if s.isCurrent(vm, incarnation) {
