Let only the present leader be named as one

Processes that asked a former leader for the group were sent back to it, and it counted as one that reaches the leader: it searched every 2 s instead of every 0.4 s and did not read its settings again. Found by review.

Cause: a view without a leader never replaced one that names a leader at the same position of the log, not even the view of the replica that has stepped down; and of two views with the same position the later received one counted, whichever was older.

A process now takes its own replica's word on whether it leads, and a view carries its term, which orders views of the same position.

Failed before: TestFormerLeaderNamesItself ("Should be empty, but was a"), TestOlderLeaderReplacesNewer ("Should be false").

--- a/control.go
+++ b/control.go
@@ -88,6 +88,9 @@
 		Leader string `cbor:"2,keyasint,omitempty"`
 		// Members holds the process addresses of the members.
 		Members []string `cbor:"3,keyasint,omitempty"`
+		// Term is the term of the source; of two views with the same position that name different
+		// leaders, the one with the higher term is newer.
+		Term uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// LocateRequest sends what a process knows about a control group, and asks for what the
@@ -241,7 +244,7 @@
 
 // View returns what the replica knows about its group.
 func (s ReplicaStatus) View() GroupView {
-	view := GroupView{Commit: s.Commit}
+	view := GroupView{Commit: s.Commit, Term: s.Term}
 	for _, m := range s.Members {
 		view.Members = append(view.Members, m.Address)
 		if m.ID == s.Leader {
--- a/internal/control/locator/locator.go
+++ b/internal/control/locator/locator.go
@@ -88,7 +88,11 @@
 
 func (l *Locator) currentView() jaygw.GroupView {
 	if l.local != nil {
-		l.learn(l.local())
+		local := l.local()
+		l.learn(local)
+		if l.view.Leader == l.self && local.Leader != l.self {
+			l.view.Leader = local.Leader // only this process knows whether it still leads
+		}
 	}
 	return l.view
 }
@@ -111,7 +115,10 @@
 	if view.Commit == 0 || len(view.Members) == 0 || len(view.Members) > maxMembers {
 		return false
 	}
-	if view.Commit < l.view.Commit || view.Commit == l.view.Commit && (view.Leader == "" || view.Leader == l.view.Leader) {
+	if view.Commit < l.view.Commit {
+		return false
+	}
+	if view.Commit == l.view.Commit && (view.Leader == "" || view.Leader == l.view.Leader || view.Term < l.view.Term) {
 		return false
 	}
 	l.view = view
--- a/internal/control/locator/locator_test.go
+++ b/internal/control/locator/locator_test.go
@@ -84,3 +84,24 @@
 	require.NotContains(t, a.Addresses(), "gone")
 	require.NotContains(t, b.Addresses(), "gone")
 }
+
+// TestFormerLeaderNamesItself guards against a replica that has stepped down and still counts as the leader, for
+// itself and for the processes that ask it.
+func TestFormerLeaderNamesItself(t *testing.T) {
+	local := jaygw.GroupView{Commit: 10, Term: 2, Leader: "a", Members: []string{"a", "b", "c"}}
+	l := locator.New([]string{"a", "b", "c"}, locator.WithAddress("a"), locator.WithReplicaView(func() jaygw.GroupView { return local }))
+	require.True(t, l.Leads())
+	local.Leader = ""
+	require.Empty(t, l.HandleRequest(jaygw.LocateRequest{Address: "g"}, start).View.Leader)
+	require.False(t, l.Leads())
+}
+
+// TestOlderLeaderReplacesNewer guards against the view of a former leader that replaces a newer one because
+// nothing was committed in between.
+func TestOlderLeaderReplacesNewer(t *testing.T) {
+	l := locator.New([]string{"a"})
+	members := []string{"a", "b", "c"}
+	require.True(t, l.Learn(jaygw.GroupView{Commit: 10, Term: 2, Leader: "a", Members: members}))
+	require.True(t, l.Learn(jaygw.GroupView{Commit: 10, Term: 3, Leader: "b", Members: members}))
+	require.False(t, l.Learn(jaygw.GroupView{Commit: 10, Term: 2, Leader: "a", Members: members}))
+}
