Log each change of the members

Whether a lost voter had left before its successor voted could only be read from the members in the lines on leadership.

--- a/internal/control/coordinator/apply.go
+++ b/internal/control/coordinator/apply.go
@@ -8,6 +8,7 @@
 	"github.com/jaygw/jaygw/internal/control/replicator"
 	"github.com/jaygw/jaygw/internal/wire/encoder"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 )
 
 // apply restores a received snapshot, applies committed entries and completes the calls of
@@ -55,6 +56,9 @@
 		delete(r.pending, e.Index)
 		switch {
 		case e.Kind == replicator.MembersEntry: // an empty command that only advances index and time
+			r.log.WithFields(logrus.Fields{
+				"index": e.Index, "term": e.Term, "members": memberAddresses(e.Members),
+			}).Info("control: members changed")
 		case isPending && p.term == e.Term:
 			command = p.call.command
 		default:
