--- /dev/null
+++ b/internal/agent/runner/starts.go
@@ -0,0 +1,107 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/jaygw/jaygw"
+)
+
+// start adds a run and returns the action that starts it, or nil if the run must not start.
+func (r *Runner) start(order jaygw.StartOrder, sent, now time.Time) *Action {
+	id, startBy := order.Run, sent.Add(order.ValidFor)
+	drop := func(reason string) *Action {
+		r.drops = append(r.drops, Drop{Order: order, StartBy: startBy, Reason: reason})
+		return nil
+	}
+	if _, settled := r.settled[id]; settled {
+		return drop("its end is recorded")
+	}
+	if r.runs[id] != nil {
+		return drop("it is known")
+	}
+	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != "", inherited: !r.adopted}
+	if !now.Before(startBy) {
+		return drop("the permit was over on arrival") // the next response carries a new one
+	}
+	r.runs[id] = state
+	if r.worker.Draining {
+		r.giveUp(id, state, reasonDraining, now)
+		return drop(reasonDraining)
+	}
+	return &Action{Start: &order, StartBy: startBy}
+}
+
+// dropAll drops the starts of a response that does not count.
+func (r *Runner) dropAll(starts []jaygw.StartOrder, now time.Time, reason string) []Action {
+	for _, order := range starts {
+		r.drops = append(r.drops, Drop{Order: order, StartBy: now, Reason: reason})
+	}
+	return nil
+}
+
+// Drops returns the starts of the latest response that were dropped.
+func (r *Runner) Drops() []Drop { return r.drops }
+
+// Admit checks a start again immediately before the worker is called, and returns the decision and
+// whether the start is admitted.
+func (r *Runner) Admit(id jaygw.Run, startBy, now time.Time) (StartDecision, bool) {
+	state := r.runs[id]
+	if state == nil {
+		return StartDecision{Refusal: "it has been forgotten"}, false
+	}
+	decision := StartDecision{Refusal: r.startRefusal(state, startBy, now), Inherited: state.inherited}
+	if decision.Refusal != "" {
+		if state.phase == starting {
+			r.giveUp(id, state, decision.Refusal, now)
+		}
+		return decision, false
+	}
+	end := now.Add(startWindow)
+	if r.leaseEnd.Before(end) {
+		end = r.leaseEnd
+	}
+	r.extendWorkerLease(end)
+	r.lastDeadline = now
+	decision.Deadline = r.workerTime(end)
+	return decision, true
+}
+
+// startRefusal returns why a start must not be sent, or an empty string.
+func (r *Runner) startRefusal(state *run, startBy, now time.Time) string {
+	switch {
+	case state.phase != starting:
+		return "it is not starting any more"
+	case r.contact.restarted():
+		// The leader still counts the run to the earlier incarnation and will free it.
+		return "the worker has started again"
+	case r.mayOutlastLease():
+		return "the lease of the worker may outlast that of the agent"
+	case r.worker.Draining:
+		return reasonDraining
+	case !now.Before(startBy):
+		return "the permit is over"
+	case !now.Before(r.leaseEnd):
+		return "the lease is over"
+	}
+	return ""
+}
+
+// Started handles the result of a start and returns the actions to perform: a spare run gets its
+// pace.
+func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) []Action {
+	r.recordResponse(reply, err, now)
+	state := r.runs[id]
+	if state == nil || state.phase != starting {
+		return nil
+	}
+	switch {
+	case err != nil || reply.Denied == jaygw.DeniedStale || reply.Denied == jaygw.DeniedFence:
+		state.phase, state.since = startUnknown, now
+	case reply.Denied != "":
+		r.giveUp(id, state, "refused by the worker: "+string(reply.Denied), now)
+	default:
+		state.phase, state.since = running, now
+		return paceActions(r.pacer.DecideNew(r.observations(), now))
+	}
+	return nil
+}
