--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/jaygw ] || exit 2
-exec target/review-standin gang review/4
+exec target/review-standin evacuation review/4
--- a/review/standin/estate.go
+++ b/review/standin/estate.go
@@ -126,8 +126,8 @@
 	fmt.Fprintf(e.record, "%9.3f  %s\n", e.since(at), fmt.Sprintf(format, a...))
 }
 
-// start starts the daemons: the control replicas, entries and agents with one worker each. Zones take turns.
-func (e *estate) start(entries, agents int) error {
+// start starts the daemons: the control replicas, an entry and agents with one worker each. Zones take turns.
+func (e *estate) start(agents int) error {
 	vm := 0
 	add := func(list *[]*daemon, role string, count int) {
 		for i := range count {
@@ -139,7 +139,7 @@
 		}
 	}
 	add(&e.controls, "control", controlMachines)
-	add(&e.entries, "entry", entries)
+	add(&e.entries, "entry", 1)
 	add(&e.agents, "agent", agents)
 	for _, list := range [][]*daemon{e.controls, e.entries, e.agents} {
 		for _, d := range list {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,6 @@
 	// The bounds of a small deployment.
 	contact       = 3 * time.Second
 	evacuationMax = 5 * time.Second
-	cancelMax     = 3 * time.Second
 	catchUp       = 4 * time.Second
 	ackMax        = 4 * time.Second
 
@@ -34,16 +33,19 @@
 	gangWork     = 300 * time.Millisecond
 	gangTrouble  = 1 * time.Second
 
-	cancelRounds = 8
-	cancelFreeze = 3500 * time.Millisecond
+	// longWork is the work of a task that goes on while its worker starts again.
+	longWork = 8 * time.Second
 
-	// giveUpAfter is the time after which a client leaves.
-	giveUpAfter = 125 * time.Millisecond
+	// startToCrash is the time between a start without an answer and the crash of the worker.
+	startToCrash = 1500 * time.Millisecond
+
+	// bootToOrder is the time between the next boot of the worker and the arrival of the order.
+	bootToOrder = 300 * time.Millisecond
 
 	// leaveToLoss is the time between the end of the replaced process and the loss of another one's disk.
 	leaveToLoss = 2 * time.Second
 
-	// downTime is the time that the machine without its disk is down.
+	// downTime is the time that a crashed machine is down.
 	downTime = time.Second
 
 	// recovery is the time after a disruption from which requests have to be served, and answerLimit how long
@@ -64,7 +66,7 @@
 var cases = map[string]func(e *estate, trouble bool) (int, error){
 	"evacuation": playEvacuation,
 	"gang":       playGang,
-	"cancel":     playCancel,
+	"restarted":  playRestarted,
 	"silent":     playSilent,
 	"replaced":   playReplaced,
 }
@@ -114,7 +116,7 @@
 	}
 	for i := 0; time.Now().Before(deadline); i++ {
 		id := fmt.Sprintf("%016x", 0xaaaa0000+i)
-		if e.submit(0, id, "warm up", `[{"count":1,"cpu":100,"requested-memory-mb":10}]`).status == http.StatusOK && e.await(id, "completed", 3*time.Second) {
+		if e.submit(0, id, "warm up", `[{"count":1,"cpu":100,"requested-memory-mb":10}]`).status == http.StatusOK && e.awaitCompleted(id, 3*time.Second) {
 			return nil
 		}
 	}
@@ -122,14 +124,9 @@
 }
 
 func (e *estate) submit(entry int, id, specification, steps string) response {
-	return e.submitFor(timeBudget, entry, id, specification, steps)
-}
-
-// submitFor submits a job; the client leaves after the limit.
-func (e *estate) submitFor(limit time.Duration, entry int, id, specification, steps string) response {
 	body := fmt.Sprintf(`{"specification":%q,"steps":%s}`, specification, steps)
 	d := e.entries[entry%len(e.entries)]
-	r := call(http.MethodPost, d.callers, host, "/jobs/"+id, body, limit)
+	r := call(http.MethodPost, d.callers, host, "/jobs/"+id, body, timeBudget)
 	e.logf("client: POST %s (%s) at %s -> %d %s", id, specification, d.name, r.status, errText(r.err))
 	return r
 }
@@ -141,10 +138,10 @@
 	return r
 }
 
-// await waits until a job is shown in a state.
-func (e *estate) await(id, state string, limit time.Duration) bool {
+// awaitCompleted waits until a job is shown as completed.
+func (e *estate) awaitCompleted(id string, limit time.Duration) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
-		if r := e.state(0, id); r.status == http.StatusOK && r.body == fmt.Sprintf(`{"state":%q}`, state) {
+		if r := e.state(0, id); r.status == http.StatusOK && r.body == `{"state":"completed"}` {
 			return true
 		}
 	}
@@ -154,7 +151,7 @@
 // playEvacuation withdraws the evacuation of a zone and orders it again, while one control process is frozen
 // to which the withdrawal was sent first.
 func playEvacuation(e *estate, trouble bool) (int, error) {
-	if err := e.start(1, 6); err != nil {
+	if err := e.start(6); err != nil {
 		return exitFailed, err
 	}
 	if err := e.prepare(4); err != nil {
@@ -221,7 +218,7 @@
 // playGang submits a gang of two tasks to a worker that for a while fails all that it starts. No other worker
 // has the label that the tasks require.
 func playGang(e *estate, trouble bool) (int, error) {
-	if err := e.start(1, 4); err != nil {
+	if err := e.start(4); err != nil {
 		return exitFailed, err
 	}
 	e.pool.mu.Lock()
@@ -242,7 +239,7 @@
 	e.pool.mu.Unlock()
 	id := fmt.Sprintf("%016x", 0xcccc0001)
 	e.submit(0, id, "gang 2", `[{"count":2,"cpu":2000,"requested-memory-mb":100,"gang-scheduled":true,"requirements":"b"}]`)
-	if e.await(id, "completed", 15*time.Second) {
+	if e.awaitCompleted(id, 15*time.Second) {
 		return exitHeld, nil
 	}
 	e.pool.mu.Lock()
@@ -260,44 +257,46 @@
 	return exitBroken, nil
 }
 
-// playCancel cancels a job whose submission has got no answer: the entry that it was sent to is frozen.
-func playCancel(e *estate, trouble bool) (int, error) {
-	if err := e.start(2, 4); err != nil {
+// playRestarted leaves a start without an answer, which reaches the worker after it has started again under its id.
+func playRestarted(e *estate, trouble bool) (int, error) {
+	if err := e.start(4); err != nil {
 		return exitFailed, err
 	}
+	p := e.pool
+	p.mu.Lock()
+	p.workers[0].labels = append(p.workers[0].labels, "b", "c")
+	p.workers[1].labels = append(p.workers[1].labels, "b")
+	p.mu.Unlock()
 	if err := e.prepare(4); err != nil {
 		return exitFailed, err
 	}
-	broken := 0
-	for i := range cancelRounds {
-		id := fmt.Sprintf("%016x", 0xdddd0000+i)
-		if trouble {
-			e.entries[1].signal(syscall.SIGSTOP)
-		}
-		stopped := time.Now()
-		e.submitFor(giveUpAfter, 1, id, "given up", `[{"count":1,"cpu":500,"requested-memory-mb":100}]`)
-		r := call(http.MethodDelete, e.entries[0].callers, host, "/jobs/"+id, "", timeBudget)
-		acked := time.Now()
-		e.logf("client: DELETE %s at entry-1 -> %d %s", id, r.status, errText(r.err))
-		if r.status != http.StatusOK && r.status != http.StatusGone {
-			return exitFailed, errNoAck
-		}
-		time.Sleep(time.Until(stopped.Add(cancelFreeze)))
-		if trouble {
-			e.entries[1].signal(syscall.SIGCONT)
-		}
-		time.Sleep(2 * time.Second)
-		e.pool.mu.Lock()
-		for _, s := range e.pool.starts {
-			if strings.HasPrefix(s.task, id) && s.at.After(acked.Add(cancelMax)) {
-				broken++
-				e.logAt(s.at, "UNASKED: %s starts %.1f s after the cancel of its job was answered with %d", s.task, s.at.Sub(acked).Seconds(), r.status)
-			}
+	time.Sleep(2 * beatInterval) // the labels are known
+	id := fmt.Sprintf("%016x", 0xdddd0001)
+	task := id + ".0.0.0"
+	p.mu.Lock()
+	p.outcome = func(*worker, string, uint64) (string, time.Duration) { return "done", longWork }
+	p.isLate = func(w *worker, o orderBody) bool { return trouble && w == p.workers[0] && o.Task == task && o.Run == 1 }
+	p.mu.Unlock()
+	e.submit(0, id, "once", `[{"count":1,"cpu":1000,"requested-memory-mb":100,"requirements":"b"}]`)
+	// This job makes the first worker the fuller one, so that the next run goes to the second.
+	e.submit(0, fmt.Sprintf("%016x", 0xdddd0002), "other", `[{"count":1,"cpu":4000,"requested-memory-mb":100,"requirements":"c"}]`)
+	time.Sleep(startToCrash)
+	w := p.workers[0]
+	if trouble {
+		w.crash()
+		time.Sleep(downTime)
+		w.boot()
+		time.Sleep(bootToOrder)
+		p.carryOutLate()
+	}
+	for deadline := time.Now().Add(longWork); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if on := p.runningOn(task); len(on) > 1 {
+			e.logf("TWICE: %s runs on %s at the same time", task, strings.Join(on, " and "))
+			return exitBroken, nil
 		}
-		e.pool.mu.Unlock()
 	}
-	if broken > 0 {
-		return exitBroken, nil
+	if !e.awaitCompleted(id, 10*time.Second) {
+		return exitFailed, errors.New("the job does not end")
 	}
 	return exitHeld, nil
 }
@@ -305,7 +304,7 @@
 // playSilent silences all open channels between the machines for good. New ones work.
 func playSilent(e *estate, trouble bool) (int, error) {
 	e.proxied = true
-	if err := e.start(1, 4); err != nil {
+	if err := e.start(4); err != nil {
 		return exitFailed, err
 	}
 	if err := e.prepare(4); err != nil {
@@ -352,7 +351,7 @@
 
 // playReplaced replaces a control machine, the new one first; then another one loses its disk.
 func playReplaced(e *estate, trouble bool) (int, error) {
-	if err := e.start(1, 4); err != nil {
+	if err := e.start(4); err != nil {
 		return exitFailed, err
 	}
 	if err := e.prepare(4); err != nil {
@@ -362,7 +361,7 @@
 	if e.submit(0, first, "before", `[{"count":4,"cpu":500,"requested-memory-mb":100}]`).status != http.StatusOK {
 		return exitFailed, fmt.Errorf("a job is not accepted")
 	}
-	if !e.await(first, "completed", 5*time.Second) {
+	if !e.awaitCompleted(first, 5*time.Second) {
 		return exitFailed, fmt.Errorf("a job does not end")
 	}
 	if trouble {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,6 +22,9 @@
 		starts  []start
 		// outcome decides how a run ends by itself, and after which work.
 		outcome func(w *worker, task string, run uint64) (how string, work time.Duration)
+		// isLate decides whether a start gets no answer and is carried out late, by carryOutLate.
+		isLate func(w *worker, o orderBody) bool
+		late   []lateStart
 	}
 
 	// stepTraits is what the workers know of a step, from its specification.
@@ -58,6 +61,7 @@
 		changed  chan struct{}
 		state    string
 		sequence int
+		down     bool // between a crash and the next boot
 	}
 
 	// running is a run at work.
@@ -69,6 +73,13 @@
 		key    string // of its gang, or empty
 	}
 
+	// lateStart is a start that has got no answer and is not carried out yet.
+	lateStart struct {
+		worker   *worker
+		instance string
+		order    orderBody
+	}
+
 	start struct {
 		at     time.Time
 		worker string
@@ -96,6 +107,9 @@
 )
 
 const (
+	startPath      = "/jaygw/run-start"
+	instanceHeader = "Expected-Instance"
+
 	stopTime    = 50 * time.Millisecond
 	gangTimeout = 3 * time.Second
 )
@@ -118,7 +132,7 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /jaygw/run-start", w.serve(w.startRun))
+	mux.HandleFunc("POST "+startPath, w.serve(w.startRun))
 	mux.HandleFunc("POST /jaygw/run-stop", w.serve(w.stopRun))
 	mux.HandleFunc("POST /jaygw/pace", w.serve(func(orderBody) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /jaygw/hold", w.hold)
@@ -161,10 +175,22 @@
 			return
 		}
 		w.pool.mu.Lock()
-		status, reason := w.carryOut(r, o, action)
-		clock := w.clock()
+		late := r.URL.Path == startPath && w.pool.isLate != nil && w.pool.isLate(w, o)
+		if late {
+			w.pool.late = append(w.pool.late, lateStart{w, r.Header.Get(instanceHeader), o})
+			w.pool.estate.logf("worker %s: start of %s run %d gets no answer", w.id, o.Task, o.Run)
+		}
+		if late || w.down {
+			w.pool.mu.Unlock()
+			if late {
+				<-r.Context().Done()
+			}
+			panic(http.ErrAbortHandler)
+		}
+		status, reason := w.carryOut(r.Header.Get(instanceHeader), o, action)
+		clock, born := w.clock(), w.born
 		w.pool.mu.Unlock()
-		body := map[string]any{"clock-ms": clock, "born": w.born.UnixMilli()}
+		body := map[string]any{"clock-ms": clock, "born": born.UnixMilli()}
 		if reason != "" {
 			body["reason"] = reason
 		}
@@ -178,8 +204,8 @@
 	_ = json.NewEncoder(rw).Encode(body) // fails if the caller has gone
 }
 
-func (w *worker) carryOut(r *http.Request, o orderBody, action func(o orderBody) (int, string)) (int, string) {
-	if instance := r.Header.Get("Expected-Instance"); instance != "" && instance != w.id {
+func (w *worker) carryOut(instance string, o orderBody, action func(o orderBody) (int, string)) (int, string) {
+	if instance != "" && instance != w.id {
 		return http.StatusMisdirectedRequest, ""
 	}
 	if o.Fence < w.fence {
@@ -334,7 +360,11 @@
 		return
 	}
 	w.pool.mu.Lock()
-	status, reason := w.carryOut(r, o, func(o orderBody) (int, string) {
+	if w.down {
+		w.pool.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	status, reason := w.carryOut(r.Header.Get(instanceHeader), o, func(o orderBody) (int, string) {
 		w.extend(o.Deadline)
 		w.forget(o.LastSeen)
 		return http.StatusOK, ""
@@ -349,6 +379,10 @@
 		}
 	}
 	w.pool.mu.Lock()
+	if w.down {
+		w.pool.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	w.expire()
 	body := map[string]any{"clock-ms": w.clock(), "born": w.born.UnixMilli()}
 	if status == http.StatusOK {
@@ -381,12 +415,56 @@
 		body := fmt.Sprintf(`{"service":"service","address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"cold-remaining-ms":0,`+
 			`"capacity":{"cpu":%d,"requested-memory-mb":32000,"gpu":0},"labels":%s,"clock-ms":%d,"born":%d,"sequence":%d}`,
 			w.agent.worker, w.zone, w.state, w.cpu, labels, w.clock(), w.born.UnixMilli(), w.sequence)
-		id := w.id
+		id, down := w.id, w.down || time.Since(w.born) < beatInterval/2
 		w.pool.mu.Unlock()
-		call(http.MethodPost, w.agent.operators, "", "/jaygw/instances/"+id+"/heartbeat", body, time.Second)
+		if !down {
+			call(http.MethodPost, w.agent.operators, "", "/jaygw/instances/"+id+"/heartbeat", body, time.Second)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(beatInterval):
 		}
 	}
 }
+
+// crash ends the worker with all that it runs and knows.
+func (w *worker) crash() {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.pool.estate.logf("worker %s crashes", w.id)
+	w.down, w.running, w.highest, w.ends = true, map[string]*running{}, map[string]uint64{}, nil
+	w.fence, w.deadline, w.lastEnd, w.sequence = 0, 0, 0, 0
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// boot starts the worker again under the id that it had.
+func (w *worker) boot() {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.born, w.down = time.Now(), false
+	w.pool.estate.logf("worker %s starts again under its id", w.id)
+}
+
+// carryOutLate carries out the starts that have got no answer.
+func (p *pool) carryOutLate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.late {
+		l.worker.carryOut(l.instance, l.order, l.worker.startRun)
+	}
+	p.late = nil
+}
+
+// runningOn returns the workers on which a task runs.
+func (p *pool) runningOn(task string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, w := range p.workers {
+		if w.running[task] != nil {
+			ids = append(ids, w.id)
+		}
+	}
+	return ids
+}
