--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,9 @@
 	freezeTime       = 4 * time.Second
 	evacuationRounds = 10
 
+	// siteWorkers is the number of workers of the site, for disruptions of a share of them.
+	siteWorkers = 11
+
 	gangAttempts = 2
 	gangWork     = 300 * time.Millisecond
 	gangTrouble  = 1 * time.Second
@@ -218,7 +221,7 @@
 // playGang submits a gang of two tasks to a worker that for a while fails all that it starts. No other worker
 // has the label that the tasks require.
 func playGang(e *estate, trouble bool) (int, error) {
-	if err := e.start(4); err != nil {
+	if err := e.start(siteWorkers); err != nil {
 		return exitFailed, err
 	}
 	e.pool.mu.Lock()
@@ -259,7 +262,7 @@
 
 // playRestarted leaves a start without an answer, which reaches the worker after it has started again under its id.
 func playRestarted(e *estate, trouble bool) (int, error) {
-	if err := e.start(4); err != nil {
+	if err := e.start(siteWorkers); err != nil {
 		return exitFailed, err
 	}
 	p := e.pool
