Log what a decision was made from, and one whose outcome is unknown

Cause: a decision that timed out was logged without an id, and no line named the state that a decision was made from, so two decisions from one state could not be told from a late order or a run that is no longer counted. Change: the lines on grants, refused grants and decisions without a known outcome carry the index and the term of the state and its age; the latter name the command, up to 8 of its runs and their VMs.

--- a/internal/schedule/orchestrator/orchestrator.go
+++ b/internal/schedule/orchestrator/orchestrator.go
@@ -147,18 +147,20 @@
 // decision took, without the proposals.
 func (o *Orchestrator) decideOnce(ctx context.Context, now time.Time) time.Duration {
 	var commands []jaygw.Command
+	from := origin{at: now}
 	o.mu.Lock()
 	if o.leads {
 		o.replica.Read(func(machine *applier.Machine) {
+			from.index = machine.State().Index
 			commands = o.decide(machine.Registrar(), outDomains(machine), now, jaygw.TimeOf(now))
 		})
 	}
-	term := o.term
+	from.term = o.term
 	o.mu.Unlock()
 	took := time.Since(now)
-	ctx = jaygw.InTerm(ctx, term)
+	ctx = jaygw.InTerm(ctx, from.term)
 	for _, command := range commands {
-		o.propose(ctx, command, now)
+		o.propose(ctx, command, from)
 	}
 	return took
 }
@@ -173,19 +175,19 @@
 	return out
 }
 
-func (o *Orchestrator) propose(ctx context.Context, command jaygw.Command, now time.Time) {
+func (o *Orchestrator) propose(ctx context.Context, command jaygw.Command, from origin) {
 	bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	start := time.Now()
 	result, err := o.replica.Propose(bounded, command)
 	metrics.GetOrRegisterTimer("scheduler.commit.time", o.registry).UpdateSince(start)
 	if err != nil {
-		o.log.WithError(err).Warn("scheduler: a decision was not committed")
+		o.log.WithError(err).WithFields(from.fields()).WithFields(commandFields(command)).Warn("scheduler: a decision was not committed")
 	}
 	o.mu.Lock()
 	o.recordOutcome(command, err)
 	o.mu.Unlock()
-	o.reportCommand(command, result, now)
+	o.reportCommand(command, result, from)
 	if err != nil {
 		select {
 		case <-ctx.Done():
--- a/internal/schedule/orchestrator/report.go
+++ b/internal/schedule/orchestrator/report.go
@@ -14,18 +14,64 @@
 	"github.com/sirupsen/logrus"
 )
 
-// stepGrants counts the tasks of one step that one decision has granted.
-type stepGrants struct {
-	tasks    int
-	restarts int // tasks that had an earlier run
-	vms      map[string]bool
+type (
+	// origin identifies the state from which a decision was made.
+	origin struct {
+		index jaygw.Index // last command in the state
+		term  uint64
+		at    time.Time
+	}
+
+	// stepGrants counts the tasks of one step that one decision has granted.
+	stepGrants struct {
+		tasks    int
+		restarts int // tasks that had an earlier run
+		vms      map[string]bool
+	}
+)
+
+// maxLoggedTasks bounds the tasks that one log line names.
+const maxLoggedTasks = 8
+
+// fields returns the fields of a log line about a decision: what it was made from, and how old that is.
+func (from origin) fields() logrus.Fields {
+	return logrus.Fields{"decided-from": from.index, "term": from.term, "took": time.Since(from.at).String()}
 }
 
-// reportCommand logs and counts what a command has decided. The decision was made at decidedAt.
-func (o *Orchestrator) reportCommand(command jaygw.Command, result jaygw.Result, decidedAt time.Time) {
+// commandFields returns the fields of a log line about a command whose outcome is unknown.
+func commandFields(command jaygw.Command) logrus.Fields {
+	var tasks []string
+	add := func(run jaygw.Run, vm string) {
+		if len(tasks) < maxLoggedTasks {
+			tasks = append(tasks, fmt.Sprintf("%s run %d on %s", run.Task, run.Number, vm))
+		}
+	}
+	fields := logrus.Fields{}
 	switch {
 	case command.StartRuns != nil:
-		o.reportStarts(*command.StartRuns, result)
+		fields["command"], fields["runs"] = "start", len(command.StartRuns.Grants)
+		for _, g := range command.StartRuns.Grants {
+			add(g.Run, g.VM)
+		}
+	case command.StopRuns != nil:
+		fields["command"], fields["runs"] = "stop", len(command.StopRuns.Stops)
+		for _, s := range command.StopRuns.Stops {
+			add(s.Run, s.VM)
+		}
+	case command.EndRuns != nil:
+		fields["command"], fields["runs"], fields["vm"] = "end", len(command.EndRuns.Ended), command.EndRuns.VM
+	case command.LearnEffects != nil:
+		fields["command"] = "effects"
+	}
+	fields["tasks"] = strings.Join(tasks, ", ")
+	return fields
+}
+
+// reportCommand logs and counts what a command has decided.
+func (o *Orchestrator) reportCommand(command jaygw.Command, result jaygw.Result, from origin) {
+	switch {
+	case command.StartRuns != nil:
+		o.reportStarts(*command.StartRuns, result, from)
 	case command.StopRuns != nil:
 		o.addToCounter("scheduler.moves", len(command.StopRuns.Stops))
 		for _, s := range command.StopRuns.Stops {
@@ -40,7 +86,7 @@
 	case command.EndRuns != nil:
 		o.addToCounter("scheduler.leases-over", 1)
 		o.log.WithFields(logrus.Fields{
-			"vm": command.EndRuns.VM, "runs": len(command.EndRuns.Ended), "index": result.Index, "took": time.Since(decidedAt).String(),
+			"vm": command.EndRuns.VM, "runs": len(command.EndRuns.Ended), "index": result.Index, "took": time.Since(from.at).String(),
 		}).Warn("scheduler: the lease of a VM is over, its runs are free")
 	}
 }
@@ -64,7 +110,7 @@
 }
 
 // reportStarts counts the grants and logs one line for each step with granted tasks.
-func (o *Orchestrator) reportStarts(start jaygw.StartRuns, result jaygw.Result) {
+func (o *Orchestrator) reportStarts(start jaygw.StartRuns, result jaygw.Result, from origin) {
 	steps := map[jaygw.StepTask]*stepGrants{}
 	for i, g := range start.Grants {
 		if i >= len(result.Results) {
@@ -72,7 +118,7 @@
 		}
 		if refused := result.Results[i]; refused.Code != "" {
 			o.addToCounter("scheduler.grants-refused", 1)
-			o.log.WithFields(logrus.Fields{
+			o.log.WithFields(from.fields()).WithFields(logrus.Fields{
 				"task": g.Run.Task.String(), "run": g.Run.Number, "vm": g.VM, "index": result.Index, "reason": refused.Detail,
 			}).Warn("scheduler: grant refused")
 			continue
@@ -92,7 +138,7 @@
 		}
 	}
 	for key, step := range steps {
-		o.log.WithFields(logrus.Fields{
+		o.log.WithFields(from.fields()).WithFields(logrus.Fields{
 			"workflow": key.Workflow, "step": fmt.Sprintf("%d.%d", key.Occurrence, key.Step), "tasks": step.tasks, "again": step.restarts,
 			"vms": strings.Join(slices.Sorted(maps.Keys(step.vms)), " "), "index": result.Index,
 		}).Info("scheduler: tasks granted")
