Check the limits of a VM again when a start is committed

What callers saw: ROUTE and LIMIT, starts beyond the capacity of a worker or the limit of a step per worker. Cause: StartRuns checked only what concerns the task. Size, label, service and the limit per VM were checked by the decision alone, from a state that may be older than the one in which it is committed: after a commit that takes longer than 2 s the leader decides again without the first decision, and both are committed. Class: a decision is trusted although the state it was made from has changed. Change: a session holds the worker's profile (service, size, labels), the index of placed runs holds what they take and how many each step has, and a grant is refused if it breaks a limit. The grants of a gang succeed or fail together. A changed profile opens a new session, so that grants decided with the earlier one are refused. Why it works: grants are checked in the order of the log, against the state that they change; the outcome no longer depends on what the leader knew. Replicas of this and an earlier build may differ in one group during an upgrade.

--- a/command.go
+++ b/command.go
@@ -81,9 +81,12 @@
 		// RunsUnknown is set if the process does not know all runs of the worker. An incarnation may
 		// then run what an earlier process has ordered to an earlier incarnation with its name.
 		RunsUnknown bool `cbor:"8,keyasint,omitempty"`
+		// Profile is that of the worker; nil in commands of earlier builds.
+		Profile *WorkerProfile `cbor:"9,keyasint,omitempty"`
 	}
 
-	// StartRuns is a batch of grants of runs; each succeeds or fails by itself.
+	// StartRuns is a batch of grants of runs. The grants of a gang succeed or fail together, each other grant
+	// by itself.
 	StartRuns struct {
 		Grants []RunGrant `cbor:"1,keyasint"`
 	}
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -114,12 +114,12 @@
 	return jaygw.WorkflowQueryResult{}
 }
 
-// OpenSession records a new agent process or a new incarnation of a worker. It ends the runs of an
-// earlier incarnation, since the worker that ran them no longer exists. If a later incarnation with the
+// OpenSession records a new agent process, a new incarnation of a worker or a new profile of it. It ends the runs
+// of an earlier incarnation, since the worker that ran them no longer exists. If a later incarnation with the
 // same name may have them, they are to be stopped instead and remain until their ends are reported.
 func (r *Registrar) OpenSession(open jaygw.OpenSession, index jaygw.Index, now jaygw.Time) jaygw.Result {
 	old := r.state.Sessions[open.VM]
-	if old != nil && old.Process == open.Process && old.Life == open.Incarnation {
+	if old != nil && old.Process == open.Process && old.Life == open.Incarnation && old.Profile.Equal(open.Profile) {
 		return jaygw.Result{AlreadyApplied: true}
 	}
 	if open.VM == "" || old == nil && len(r.state.Sessions) >= r.limits.Sessions {
@@ -127,7 +127,7 @@
 	}
 	r.state.Sessions[open.VM] = &Session{
 		Number: uint64(index), Process: open.Process, Life: open.Incarnation, Domain: open.Domain,
-		Sequence: open.Sequence, Superseded: superseded(old, open.Process),
+		Profile: open.Profile, Sequence: open.Sequence, Superseded: superseded(old, open.Process),
 	}
 	switch {
 	case old == nil || old.Life == open.Incarnation:
@@ -165,44 +165,28 @@
 }
 
 // StartRuns records grants. It checks each rule that depends on the state again, so that a
-// decision made from an older state starts nothing twice or too early.
+// decision made from an older state starts nothing twice, too early or beyond the limits of a VM.
 func (r *Registrar) StartRuns(start jaygw.StartRuns, now jaygw.Time) jaygw.Result {
 	results := make([]jaygw.ItemResult, len(start.Grants))
-	for i, g := range start.Grants {
-		if refusal := r.startRun(g, now); refusal != "" {
-			results[i] = jaygw.ItemResult{Code: jaygw.RefusedState, Detail: refusal}
+	for first := 0; first < len(start.Grants); {
+		group := r.groupOf(start.Grants[first:])
+		refusal := r.groupRefusal(group, now)
+		for i, g := range group {
+			if refusal == "" {
+				r.startRun(g, now)
+			} else {
+				results[first+i] = jaygw.ItemResult{Code: jaygw.RefusedState, Detail: refusal}
+			}
 		}
+		first += len(group)
 	}
 	return jaygw.Result{Results: results}
 }
 
-// startRun records one grant, or returns why it is refused.
-func (r *Registrar) startRun(g jaygw.RunGrant, now jaygw.Time) (refusal string) {
-	id := g.Run.Task
-	w := r.state.Workflows[id.Workflow]
-	if w == nil || w.State.Ended() {
-		return "the workflow has ended"
-	}
-	s, task := w.step(id), w.task(id)
-	session := r.state.Sessions[g.VM]
-	switch {
-	case task == nil:
-		return "there is no such task"
-	case session == nil || session.Number != g.Session:
-		return "the VM has a newer session"
-	case r.domainOut(session.Domain):
-		return "the failure domain is out"
-	case task.Done:
-		return "the task is done"
-	case task.Runs > 0:
-		return "the task has a run already"
-	case g.Run.Number <= task.Number:
-		return "the task has had a later run"
-	case !w.Ready(id.Occurrence, id.Step):
-		return "an earlier step is not done"
-	case w.Spec.ScheduledTime(id.Occurrence) > now:
-		return "the occurrence is not due"
-	}
+// startRun records one grant that is not refused.
+func (r *Registrar) startRun(g jaygw.RunGrant, now jaygw.Time) {
+	w := r.state.Workflows[g.Run.Task.Workflow]
+	s, task := w.step(g.Run.Task), w.task(g.Run.Task)
 	task.Number = g.Run.Number
 	task.Runs++
 	task.LastVM, task.LateVM = g.VM, ""
@@ -211,13 +195,12 @@
 	w.State = jaygw.WorkflowRunning
 	r.addPlaced(&Placement{Run: g.Run, VM: g.VM, Session: g.Session, Since: now, Ticket: g.Ticket, Checkpoint: task.Checkpoint})
 	r.onChange(g.VM)
-	return ""
 }
 
 // StopRuns marks runs to be stopped by their agents. Runs that have already ended are skipped.
 func (r *Registrar) StopRuns(stop jaygw.StopRuns) jaygw.Result {
 	for _, s := range stop.Stops {
-		if p := r.runsByVM[s.VM][s.Run]; p != nil && !p.Stopping {
+		if p := r.FindPlacement(s.VM, s.Run); p != nil && !p.Stopping {
 			next := *p
 			next.Stopping = true
 			r.addPlaced(&next)
@@ -243,7 +226,7 @@
 // effect on the task, or an empty string.
 func (r *Registrar) endRun(vm string, e jaygw.EndedRun, now jaygw.Time) (ignored string) {
 	w := r.state.Workflows[e.Run.Task.Workflow]
-	p := r.runsByVM[vm][e.Run]
+	p := r.FindPlacement(vm, e.Run)
 	if p != nil {
 		r.removePlaced(p)
 		r.onChange("") // no VM name: the agent knows of the end, and only capacity was freed
@@ -373,7 +356,7 @@
 	r.state.Finished = append(r.state.Finished, w.Spec.ID)
 	if w.Runs > 0 {
 		for _, vm := range r.VMs() {
-			for run := range r.runsByVM[vm] {
+			for run := range r.placed(vm) {
 				if run.Task.Workflow == w.Spec.ID {
 					r.onChange(vm)
 					break
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -16,7 +16,7 @@
 	Registrar struct {
 		state     *State
 		limits    Limits
-		runsByVM  map[string]map[jaygw.Run]*Placement // placed runs by VM
+		runsByVM  map[string]*vmRuns // placed runs by VM
 		effects   map[jaygw.ImagePair]jaygw.EffectEstimate
 		active    []*Workflow                 // workflows that have not ended, in the order of acceptance
 		onChange  func(vm string)             // called after a change, see Notify
@@ -96,6 +96,8 @@
 		Process uint64                  // number that the agent process has drawn at random
 		Life    jaygw.WorkerIncarnation // incarnation of the worker
 		Domain  string                  // failure domain of the VM
+		// Profile is that of the worker; nil if the session was opened by an earlier build.
+		Profile *jaygw.WorkerProfile `cbor:",omitempty"`
 		// Sequence is the sequence number of the poll that opened the session.
 		Sequence uint64 `cbor:",omitempty"`
 		// Superseded holds the latest agent processes that had sessions before, oldest first.
@@ -129,7 +131,7 @@
 	return &Registrar{
 		state:     newState(),
 		limits:    DefaultLimits(),
-		runsByVM:  map[string]map[jaygw.Run]*Placement{},
+		runsByVM:  map[string]*vmRuns{},
 		effects:   map[jaygw.ImagePair]jaygw.EffectEstimate{},
 		onChange:  func(string) {},
 		onEnd:     func(*Workflow, jaygw.Time) {},
@@ -167,16 +169,16 @@
 // ForEachPlacement calls a function with each run that holds resources on a VM, in no
 // particular order.
 func (r *Registrar) ForEachPlacement(vm string, visit func(*Placement)) {
-	for _, p := range r.runsByVM[vm] {
+	for _, p := range r.placed(vm) {
 		visit(p)
 	}
 }
 
 // FindPlacement returns a run that holds resources on a VM, or nil.
-func (r *Registrar) FindPlacement(vm string, run jaygw.Run) *Placement { return r.runsByVM[vm][run] }
+func (r *Registrar) FindPlacement(vm string, run jaygw.Run) *Placement { return r.placed(vm)[run] }
 
 // HasPlacements reports whether any run holds resources on a VM.
-func (r *Registrar) HasPlacements(vm string) bool { return len(r.runsByVM[vm]) > 0 }
+func (r *Registrar) HasPlacements(vm string) bool { return len(r.placed(vm)) > 0 }
 
 // VMs returns the names of the VMs on which runs hold resources, sorted.
 func (r *Registrar) VMs() []string { return slices.Sorted(maps.Keys(r.runsByVM)) }
@@ -219,8 +221,9 @@
 		s.Workflows[id] = w.clone()
 	}
 	for _, vm := range r.VMs() {
-		for _, run := range slices.SortedFunc(maps.Keys(r.runsByVM[vm]), CompareRuns) {
-			s.Placed = append(s.Placed, r.runsByVM[vm][run])
+		placed := r.placed(vm)
+		for _, run := range slices.SortedFunc(maps.Keys(placed), CompareRuns) {
+			s.Placed = append(s.Placed, placed[run])
 		}
 	}
 	return s
@@ -229,7 +232,7 @@
 // Restore replaces the state with one from Snapshot, which may be nil.
 func (r *Registrar) Restore(state *State) {
 	r.state = newState()
-	r.runsByVM = map[string]map[jaygw.Run]*Placement{}
+	r.runsByVM = map[string]*vmRuns{}
 	r.effects = map[jaygw.ImagePair]jaygw.EffectEstimate{}
 	r.active = nil
 	if state == nil {
@@ -257,24 +260,6 @@
 	slices.SortFunc(r.active, func(a, b *Workflow) int { return compare(a.Order, b.Order) })
 }
 
-// addPlaced adds a placed run to the index, or replaces it there.
-func (r *Registrar) addPlaced(p *Placement) {
-	runs := r.runsByVM[p.VM]
-	if runs == nil {
-		runs = map[jaygw.Run]*Placement{}
-		r.runsByVM[p.VM] = runs
-	}
-	runs[p.Run] = p
-}
-
-// removePlaced removes a placed run from the index.
-func (r *Registrar) removePlaced(p *Placement) {
-	delete(r.runsByVM[p.VM], p.Run)
-	if len(r.runsByVM[p.VM]) == 0 {
-		delete(r.runsByVM, p.VM)
-	}
-}
-
 // clone returns a copy that later commands do not change.
 func (w *Workflow) clone() *Workflow {
 	c := *w
--- a/internal/schedule/allocator/node.go
+++ b/internal/schedule/allocator/node.go
@@ -73,12 +73,8 @@
 // reserve deducts the resources of a task from the free resources of the VM. Spare tasks use only
 // spare CPU, so their CPU is not deducted from free.
 func (n *node) reserve(task jaygw.StepTask, step *jaygw.Step) {
-	size := step.Size
 	n.spareCPU -= expectedCPU(step)
-	if step.Spare {
-		size.CPU = 0
-	}
-	n.free = n.free.Sub(size)
+	n.free = n.free.Sub(step.Reserved())
 	n.steps[stepKey{task.Workflow, task.Occurrence, task.Step}]++
 }
 
@@ -127,14 +123,11 @@
 // fits reports whether a task can start on the VM. It checks the size, the label, the limit per VM
 // and, for a spare task that is not starved, the spare CPU and the effect on serving tasks.
 func (n *node) fits(step *jaygw.Step, id jaygw.StepTask, starved bool) bool {
-	size := step.Size
-	if step.Spare {
-		if !starved && n.spareCPU < size.CPU*minSparePercent/100 || !starved && n.expectedInverseLatency(step) < minInverseLatency {
-			return false
-		}
-		size.CPU = 0
+	if step.Spare && !starved &&
+		(n.spareCPU < step.Size.CPU*minSparePercent/100 || n.expectedInverseLatency(step) < minInverseLatency) {
+		return false
 	}
-	if !size.Fits(n.free) || step.Label != "" && !slices.Contains(n.Worker.Labels, step.Label) {
+	if !step.Reserved().Fits(n.free) || step.Label != "" && !slices.Contains(n.Worker.Labels, step.Label) {
 		return false
 	}
 	return step.MaxPerVM == 0 || n.steps[stepKey{id.Workflow, id.Occurrence, id.Step}] < step.MaxPerVM
--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -80,8 +80,8 @@
 	return result.Err()
 }
 
-// sessionCommand returns the command that opens a session for a new agent process or a new
-// incarnation of its worker, or nil if the session is current. A late poll of an earlier process or
+// sessionCommand returns the command that opens a session for a new agent process, or a new
+// incarnation or profile of its worker, or nil if the session is current. A late poll of an earlier process or
 // incarnation is refused: its session would end the runs of the later one while they run.
 func (t *vmTable) sessionCommand(request jaygw.PollRequest, state *registrar.Registrar) (*jaygw.Command, error) {
 	if !t.leads {
@@ -93,7 +93,7 @@
 	session := state.Session(request.VM)
 	switch {
 	case session == nil:
-	case session.Process == request.Process && session.Life == request.Worker.Incarnation:
+	case session.Process == request.Process && session.Life == request.Worker.Incarnation && session.Profile.Equal(request.Worker.Profile()):
 		return nil, nil
 	case session.Process == request.Process && request.Sequence < session.Sequence,
 		mayBeEarlier(request, session) && t.isLate(request, session):
@@ -101,7 +101,7 @@
 	}
 	return &jaygw.Command{OpenSession: &jaygw.OpenSession{
 		VM: request.VM, Process: request.Process, Incarnation: request.Worker.Incarnation, Domain: request.Worker.Domain,
-		Sequence: request.Sequence, RunsUnknown: request.RunsUnknown,
+		Profile: request.Worker.Profile(), Sequence: request.Sequence, RunsUnknown: request.RunsUnknown,
 	}}, nil
 }
 
--- a/poll.go
+++ b/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -31,6 +32,16 @@
 		Address string `cbor:"9,keyasint,omitempty"`
 	}
 
+	// WorkerProfile is what a worker declares for its whole incarnation and limits the runs that it may get.
+	WorkerProfile struct {
+		// Service names the pool that the worker belongs to.
+		Service string `cbor:"1,keyasint"`
+		// Size is the whole capacity of the VM.
+		Size Resources `cbor:"2,keyasint"`
+		// Labels are those of the worker.
+		Labels []string `cbor:"3,keyasint,omitempty"`
+	}
+
 	// WorkerIncarnation identifies one incarnation of a worker. A worker that starts again may
 	// keep its name; it then has another start time and none of its earlier runs.
 	WorkerIncarnation struct {
@@ -382,3 +393,16 @@
 // of such pairs above zero; without this threshold, a serving task whose own load brings
 // it near its target would keep all spare tasks off its VM.
 const NegligibleEffect = 3.0
+
+// Profile returns the worker's profile.
+func (w *PoolWorker) Profile() *WorkerProfile {
+	return &WorkerProfile{Service: w.Service, Size: w.Size, Labels: w.Labels}
+}
+
+// Equal reports whether two profiles are the same. Either may be nil.
+func (p *WorkerProfile) Equal(o *WorkerProfile) bool {
+	if p == nil || o == nil {
+		return p == o
+	}
+	return p.Service == o.Service && p.Size == o.Size && slices.Equal(p.Labels, o.Labels)
+}
--- a/workflow.go
+++ b/workflow.go
@@ -209,6 +209,16 @@
 	return StepTask{parts[0], numbers[0], numbers[1], numbers[2]}, true
 }
 
+// Reserved returns the resources that a task of the step takes from its VM. Spare tasks only use processor time
+// that is left.
+func (s *Step) Reserved() Resources {
+	reserved := s.Size
+	if s.Spare {
+		reserved.CPU = 0
+	}
+	return reserved
+}
+
 // Occurrences returns how often the steps run.
 func (w WorkflowSpec) Occurrences() int { return max(1, w.Repetitions) }
 
