End a job whose cancel arrived before its submission

What callers saw: a job ran after its cancel was answered 410 (UNASKED), since the entry to which it had been submitted stood still. Cause: the cancel of an unknown job left nothing behind that the late submission could meet. Change: the registrar retains the cancel of an unknown job of an existing queue for 10 minutes, as long as ended jobs. A submission that meets it is accepted as canceled. The table is bounded to 20,000 cancels; if it is full, the cancel is refused (503) instead of answered 410, so that nobody is told of a cancel that is not retained.

--- /dev/null
+++ b/internal/control/registrar/cancels.go
@@ -0,0 +1,44 @@
+package registrar
+
+import (
+	"strings"
+
+	"github.com/jaygw/jaygw"
+)
+
+// canceledKey identifies the workflow of an UnknownCancel.
+type canceledKey struct{ host, path string }
+
+func keyOfCancel(host, path string) canceledKey { return canceledKey{strings.ToLower(host), path} }
+
+func (c UnknownCancel) key() canceledKey { return canceledKey{c.Host, c.Path} }
+
+// retainCancel retains the cancel of an unknown workflow. It returns a refusal if the table is full: the caller
+// must not be told that the workflow does not exist while its submission may still arrive.
+func (r *Registrar) retainCancel(cancel jaygw.CancelWorkflow, now jaygw.Time) *jaygw.Result {
+	r.removeOldCancels(now)
+	key := keyOfCancel(cancel.Host, cancel.Path)
+	if r.state.Catalog == nil || r.canceled[key] {
+		return nil
+	}
+	if queue, id := r.state.Catalog.FindQueue(cancel.Host, cancel.Path); queue == nil || id == "" {
+		return nil // a submission is refused
+	}
+	if len(r.state.Canceled) >= r.limits.Canceled {
+		full := jaygw.Refuse(jaygw.RefusedTableFull, "the table of canceled workflows holds its limit of %d", r.limits.Canceled)
+		return &full
+	}
+	r.canceled[key] = true
+	r.state.Canceled = append(r.state.Canceled, UnknownCancel{Host: key.host, Path: key.path, At: now})
+	return nil
+}
+
+// removeOldCancels removes the cancels of unknown workflows that are older than the retention time.
+func (r *Registrar) removeOldCancels(now jaygw.Time) {
+	old := 0
+	for old < len(r.state.Canceled) && r.state.Canceled[old].At.Add(retention) <= now {
+		delete(r.canceled, r.state.Canceled[old].key())
+		old++
+	}
+	r.state.Canceled = r.state.Canceled[old:]
+}
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -30,6 +30,7 @@
 // workflow is acknowledged and changes nothing.
 func (r *Registrar) Submit(submit jaygw.SubmitWorkflow, now jaygw.Time) jaygw.Result {
 	r.removeOldWorkflows(now)
+	r.removeOldCancels(now)
 	if r.state.Catalog == nil {
 		return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet")
 	}
@@ -60,14 +61,21 @@
 	}
 	r.state.Workflows[id] = w
 	r.active = append(r.active, w)
+	if r.canceled[keyOfCancel(submit.Host, submit.Path)] {
+		r.endWorkflow(w, jaygw.WorkflowCanceled, "canceled by its caller before it was submitted", now)
+	}
 	r.onChange("")
 	return jaygw.Result{}
 }
 
-// Cancel ends a workflow. Its runs hold their resources until their agents have stopped them.
+// Cancel ends a workflow. Its runs hold their resources until their agents have stopped them. The cancel of an
+// unknown workflow is refused, but ends the workflow once its submission arrives.
 func (r *Registrar) Cancel(cancel jaygw.CancelWorkflow, now jaygw.Time) jaygw.Result {
 	w := r.findWorkflow(cancel.Host, cancel.Path)
 	if w == nil {
+		if full := r.retainCancel(cancel, now); full != nil {
+			return *full
+		}
 		return jaygw.Refuse(jaygw.RefusedUnknown, "there is no workflow at %s%s", cancel.Host, cancel.Path)
 	}
 	if w.State.Ended() {
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -18,6 +18,7 @@
 		limits    Limits
 		runsByVM  map[string]*vmRuns // placed runs by VM
 		effects   map[jaygw.ImagePair]jaygw.EffectEstimate
+		canceled  map[canceledKey]bool        // cancels of workflows that were unknown, as in state.Canceled
 		active    []*Workflow                 // workflows that have not ended, in the order of acceptance
 		onChange  func(vm string)             // called after a change, see Notify
 		onEnd     func(*Workflow, jaygw.Time) // called with each workflow that has ended
@@ -33,6 +34,15 @@
 		Finished  []string               // ids of the ended workflows, in the order of their ends
 		Order     uint64                 // acceptance number of the latest workflow
 		Effects   []jaygw.EffectEstimate // set only in a snapshot, sorted; a Registrar indexes them by pair
+		// Canceled holds the cancels of workflows that were unknown, in their order.
+		Canceled []UnknownCancel `cbor:",omitempty"`
+	}
+
+	// UnknownCancel is the cancel of a workflow that was unknown. Its submission may arrive later.
+	UnknownCancel struct {
+		Host string // in lower case
+		Path string
+		At   jaygw.Time
 	}
 
 	// Workflow is an accepted workflow.
@@ -107,6 +117,7 @@
 	// Limits bounds the sizes of the tables.
 	Limits struct {
 		Workflows int // workflows, including ended ones that are retained
+		Canceled  int // cancels of unknown workflows that are retained
 		Tasks     int // tasks of one workflow, over all occurrences
 		Sessions  int // sessions, one per VM
 		Effects   int // estimates, one per pair of images
@@ -114,7 +125,8 @@
 )
 
 // retention is the least time for which an ended workflow is retained. During this time its state
-// can be queried, and a resent submission of it is acknowledged instead of accepted again.
+// can be queried, and a resent submission of it is acknowledged instead of accepted again. The cancel
+// of an unknown workflow is retained for as long.
 const retention = 10 * time.Minute
 
 // maxSuperseded bounds the superseded processes of a session.
@@ -122,7 +134,7 @@
 
 // DefaultLimits returns limits with a margin of two over the target size.
 func DefaultLimits() Limits {
-	return Limits{Workflows: 50_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000}
+	return Limits{Workflows: 50_000, Canceled: 20_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000}
 }
 
 // New returns a registrar without workflows. The function domainOut reports whether a failure
@@ -133,6 +145,7 @@
 		limits:    DefaultLimits(),
 		runsByVM:  map[string]*vmRuns{},
 		effects:   map[jaygw.ImagePair]jaygw.EffectEstimate{},
+		canceled:  map[canceledKey]bool{},
 		onChange:  func(string) {},
 		onEnd:     func(*Workflow, jaygw.Time) {},
 		domainOut: domainOut,
@@ -215,7 +228,7 @@
 	s := &State{
 		Catalog: r.state.Catalog, Sessions: maps.Clone(r.state.Sessions),
 		Finished: slices.Clone(r.state.Finished), Order: r.state.Order,
-		Workflows: make(map[string]*Workflow, len(r.state.Workflows)), Effects: r.Effects(),
+		Workflows: make(map[string]*Workflow, len(r.state.Workflows)), Effects: r.Effects(), Canceled: slices.Clone(r.state.Canceled),
 	}
 	for id, w := range r.state.Workflows {
 		s.Workflows[id] = w.clone()
@@ -234,12 +247,16 @@
 	r.state = newState()
 	r.runsByVM = map[string]*vmRuns{}
 	r.effects = map[jaygw.ImagePair]jaygw.EffectEstimate{}
+	r.canceled = map[canceledKey]bool{}
 	r.active = nil
 	if state == nil {
 		return
 	}
 	r.state.Catalog = state.Catalog
-	r.state.Finished, r.state.Order = state.Finished, state.Order
+	r.state.Finished, r.state.Order, r.state.Canceled = state.Finished, state.Order, state.Canceled
+	for _, c := range state.Canceled {
+		r.canceled[c.key()] = true
+	}
 	if state.Workflows != nil {
 		r.state.Workflows = state.Workflows
 	}
