Read the worker's clock from the heartbeats of an idle worker

What callers saw: the first run of a gang ended "alone" without any disruption, after some of its workers had nothing to do for a minute. Cause: an agent takes the worker's clock from responses only, and an idle worker gets no call. With the margin of 3 percent for a slow clock, a deadline 1.5 s ahead lies in the past once the reading is 50 s old, and the worker refuses the start as late. Change: a heartbeat of the present incarnation gives a reading too, if it is ahead of what the agent assumes and not ahead of what the clock can have reached, as a heartbeat may come from another program.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -166,6 +166,7 @@
 		r.worker = &w
 		return true
 	}
+	r.observeClock(clock, now)
 	// A worker drains until its incarnation ends; an older report may arrive late.
 	w.Draining = w.Draining || r.worker.Draining
 	changed := r.worker.Draining != w.Draining
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -19,7 +19,7 @@
 // with "->" lists what the command before it must have returned, or "-> none". A run is
 // written as index/number, where index is that of the task in its step.
 //
-//	report INCARNATION [draining]   the worker reports its state
+//	report INCARNATION [draining] [clock=READING]   the worker reports its state
 //	poll                            a poll is sent to the leader
 //	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN]
 //	admit RUN                       a start is about to be sent
@@ -81,8 +81,16 @@
 	switch fields[1] {
 	case "report":
 		in.incarnation = jaygw.WorkerIncarnation{Name: args[0]}
-		draining := len(args) > 1
-		if in.runner.Report(jaygw.PoolWorker{Incarnation: in.incarnation, Draining: draining}, elapsed, now) {
+		draining, clock := false, elapsed
+		for _, arg := range args[1:] {
+			if reading, ok := strings.CutPrefix(arg, "clock="); ok {
+				clock, err = time.ParseDuration(reading)
+				require.NoError(in.t, err, line)
+			} else {
+				draining = true
+			}
+		}
+		if in.runner.Report(jaygw.PoolWorker{Incarnation: in.incarnation, Draining: draining}, clock, now) {
 			in.results = append(in.results, "notify")
 		}
 	case "poll":
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -177,6 +177,15 @@
 	r.updateClock(reply, now)
 }
 
+// observeClock stores the reading of the worker's clock in a heartbeat if it is ahead of what workerTime gives. It
+// ignores a reading that the clock cannot have, since a heartbeat may come from another program.
+func (r *Runner) observeClock(reading time.Duration, now time.Time) {
+	elapsed := now.Sub(r.clockAt)
+	if latest := r.clock + elapsed + elapsed*clockMarginPercent/100; reading > r.workerTime(now) && reading <= latest {
+		r.clock, r.clockAt = reading, now
+	}
+}
+
 // updateClock stores a reading of the worker's clock.
 func (r *Runner) updateClock(reply jaygw.WorkerResponse, now time.Time) {
 	if reply.Clock > r.clock {
