Order a pace again while an earlier order may be carried out late

What callers saw: spare work stayed suspended, or worked on beside a serving task over its target, after an order on its pace got no response. Cause: a worker may carry such an order out seconds later, after newer ones, and does not report paces; the agent believed the newer one.

--- a/internal/agent/pacer/pacer.go
+++ b/internal/agent/pacer/pacer.go
@@ -18,11 +18,12 @@
 type (
 	// Pacer holds the paces of the spare runs on one VM. It is not safe for concurrent use.
 	Pacer struct {
-		paces      map[jaygw.Run]int  // percent of full speed; only paces below fullPace
-		decided    map[jaygw.Run]bool // spare runs whose pace has been decided
-		effects    map[jaygw.ImagePair]float64
-		lastChange time.Time // when a decision over all spare runs last changed a pace
-		overSince  time.Time // since when a serving run has exceeded its target; zero if none does
+		paces       map[jaygw.Run]int  // percent of full speed; only paces below fullPace
+		decided     map[jaygw.Run]bool // spare runs whose pace has been decided
+		effects     map[jaygw.ImagePair]float64
+		unconfirmed map[jaygw.Run]unconfirmed // spare runs with orders that may be carried out late
+		lastChange  time.Time                 // when a decision over all spare runs last changed a pace
+		overSince   time.Time                 // since when a serving run has exceeded its target; zero if none does
 	}
 
 	// Observation is the state of one run on the VM. TailLatency and UsedShare are measured over
@@ -97,7 +98,10 @@
 
 // New returns a pacer with all runs at full pace.
 func New() *Pacer {
-	return &Pacer{paces: map[jaygw.Run]int{}, decided: map[jaygw.Run]bool{}, effects: map[jaygw.ImagePair]float64{}}
+	return &Pacer{
+		paces: map[jaygw.Run]int{}, decided: map[jaygw.Run]bool{}, effects: map[jaygw.ImagePair]float64{},
+		unconfirmed: map[jaygw.Run]unconfirmed{},
+	}
 }
 
 // Learn stores estimates of how much spare images slow serving images.
@@ -114,11 +118,12 @@
 	return defaultEffect
 }
 
-// Decide returns the paces to change after a measurement. A new run gets its pace immediately; the
+// Decide returns the paces to order after a measurement. A new run gets its pace immediately; the
 // paces of the others change only once interval has passed since the last change, so that the
-// measurements reflect it.
+// measurements reflect it. An earlier order without a response makes it repeat a pace.
 func (p *Pacer) Decide(runs []Observation, now time.Time) []Pace {
-	return p.decide(runs, now.Sub(p.lastChange) >= interval, now)
+	changes := p.decide(runs, now.Sub(p.lastChange) >= interval, now)
+	return append(changes, p.repeats(changes, now)...)
 }
 
 // DecideNew returns the paces of new runs, given the observations of the last measurement. It lets
@@ -163,6 +168,7 @@
 		if !present[id] {
 			delete(p.decided, id)
 			delete(p.paces, id)
+			delete(p.unconfirmed, id)
 		}
 	}
 }
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -291,11 +291,14 @@
 	return actions
 }
 
-// Paced handles the result of a change of pace. Without a response the old pace remains, and
+// Paced handles the result of a change of pace. Without a response the old pace counts, and
 // the next list leads to a new decision.
 func (r *Runner) Paced(pace pacer.Pace, reply jaygw.WorkerResponse, err error, now time.Time) {
 	r.recordResponse(reply, err, now)
-	if err == nil && reply.Denied == "" {
+	switch {
+	case err != nil:
+		r.pacer.Unconfirmed(pace.Run, now)
+	case reply.Denied == "":
 		r.pacer.SetPace(pace)
 	}
 }
