Keep the number of a session whose profile or failure domain changes

What operators would have seen: during an upgrade replicas of two builds disagree on every grant, as a changed profile opened a session with a new number, which earlier builds skip; and a task is offered and refused for good on a VM whose worker has changed its failure domain. Change: a poll of the same process and incarnation with another profile or domain updates the session, which keeps its number. Late grants are checked against the new profile.

--- a/command.go
+++ b/command.go
@@ -81,7 +81,8 @@
 		// RunsUnknown is set if the process does not know all runs of the worker. An incarnation may
 		// then run what an earlier process has ordered to an earlier incarnation with its name.
 		RunsUnknown bool `cbor:"8,keyasint,omitempty"`
-		// Profile is that of the worker; nil in commands of earlier builds.
+		// Profile is that of the worker; nil in commands of earlier builds. A session whose process and incarnation
+		// are the same takes over a changed profile and domain.
 		Profile *WorkerProfile `cbor:"9,keyasint,omitempty"`
 	}
 
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -122,13 +122,13 @@
 	return jaygw.WorkflowQueryResult{}
 }
 
-// OpenSession records a new agent process, a new incarnation of a worker or a new profile of it. It ends the runs
+// OpenSession records a new agent process or a new incarnation of a worker. It ends the runs
 // of an earlier incarnation, since the worker that ran them no longer exists. If a later incarnation with the
 // same name may have them, they are to be stopped instead and remain until their ends are reported.
 func (r *Registrar) OpenSession(open jaygw.OpenSession, index jaygw.Index, now jaygw.Time) jaygw.Result {
 	old := r.state.Sessions[open.VM]
-	if old != nil && old.Process == open.Process && old.Life == open.Incarnation && old.Profile.Equal(open.Profile) {
-		return jaygw.Result{AlreadyApplied: true}
+	if old != nil && old.Process == open.Process && old.Life == open.Incarnation {
+		return r.updateSession(old, open)
 	}
 	if open.VM == "" || old == nil && len(r.state.Sessions) >= r.limits.Sessions {
 		return jaygw.Refuse(jaygw.RefusedTableFull, "the table of sessions holds its limit of %d", r.limits.Sessions)
@@ -155,6 +155,19 @@
 	return jaygw.Result{}
 }
 
+// updateSession records a changed profile or failure domain. The session keeps its number, so that replicas of earlier
+// builds, which skip the change, agree on it.
+func (r *Registrar) updateSession(old *Session, open jaygw.OpenSession) jaygw.Result {
+	if open.Profile == nil || old.Profile.Equal(open.Profile) && old.Domain == open.Domain {
+		return jaygw.Result{AlreadyApplied: true}
+	}
+	next := *old
+	next.Profile, next.Domain, next.Sequence = open.Profile, open.Domain, open.Sequence
+	r.state.Sessions[open.VM] = &next
+	r.onChange("")
+	return jaygw.Result{}
+}
+
 // stopAll marks all runs on a VM to be stopped.
 func (r *Registrar) stopAll(vm string) {
 	var stops []jaygw.StoppedRun
--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -75,13 +75,19 @@
 	if err != nil {
 		return err
 	}
+	if previous.Process == request.Process && previous.Life == request.Worker.Incarnation {
+		o.log.WithFields(fields).WithFields(logrus.Fields{
+			"size": request.Worker.Size, "labels": request.Worker.Labels, "service": request.Worker.Service, "domain": request.Worker.Domain,
+		}).Info("scheduler: profile of a worker changed")
+		return result.Err()
+	}
 	fields["session"] = result.Index
 	o.log.WithFields(fields).Info("scheduler: session opened")
 	return result.Err()
 }
 
-// sessionCommand returns the command that opens a session for a new agent process, or a new
-// incarnation or profile of its worker, or nil if the session is current. A late poll of an earlier process or
+// sessionCommand returns the command that opens a session for a new agent process or a new
+// incarnation of its worker, or records a changed profile or failure domain of the worker, or nil if the session is current. A late poll of an earlier process or
 // incarnation is refused: its session would end the runs of the later one while they run.
 func (t *vmTable) sessionCommand(request jaygw.PollRequest, state *registrar.Registrar) (*jaygw.Command, error) {
 	if !t.leads {
@@ -93,7 +99,8 @@
 	session := state.Session(request.VM)
 	switch {
 	case session == nil:
-	case session.Process == request.Process && session.Life == request.Worker.Incarnation && session.Profile.Equal(request.Worker.Profile()):
+	case session.Process == request.Process && session.Life == request.Worker.Incarnation &&
+		session.Profile.Equal(request.Worker.Profile()) && session.Domain == request.Worker.Domain:
 		return nil, nil
 	case session.Process == request.Process && request.Sequence < session.Sequence,
 		mayBeEarlier(request, session) && t.isLate(request, session):
