Check a gang's limits in a time proportional to its size

What callers would have seen: a caller with a gang of 20,000 tasks, the limit, could unseat the leaders: applying its grants took 2.2 s on each replica. Cause: the check of each member counted the earlier ones again. A member that is named twice was placed twice. Change: one count per VM; a second grant for a member refuses the gang. TestDuplicateInGang failed before. TestMalformedGrants guards against a panic and passed before.

--- a/internal/control/registrar/grants.go
+++ b/internal/control/registrar/grants.go
@@ -83,11 +83,18 @@
 
 // groupRefusal returns why grants that succeed or fail together are refused, or an empty string.
 func (r *Registrar) groupRefusal(group []jaygw.RunGrant, now jaygw.Time) string {
-	for i, g := range group {
+	earlier, members := map[string]int{}, map[int]bool{} // by VM, by task
+	for _, g := range group {
 		refusal := r.startRefusal(g, now)
-		if refusal == "" {
-			refusal = r.limitRefusal(g, group[:i])
+		switch {
+		case refusal != "":
+		case members[g.Run.Task.Index]:
+			refusal = "the task has a run already"
+		default:
+			refusal = r.limitRefusal(g, earlier[g.VM])
 		}
+		earlier[g.VM]++
+		members[g.Run.Task.Index] = true
 		if refusal != "" && len(group) > 1 {
 			return fmt.Sprintf("member %d of the gang is refused: %s", g.Run.Task.Index, refusal)
 		}
@@ -127,20 +134,15 @@
 	return ""
 }
 
-// limitRefusal returns why a run must not be placed on its VM beside the runs there and those that are granted
-// before it, or an empty string. A session of an earlier build has no profile and sets no limits.
-func (r *Registrar) limitRefusal(g jaygw.RunGrant, before []jaygw.RunGrant) string {
+// limitRefusal returns why a run must not be placed on its VM beside the runs there and earlier runs of its step that
+// are granted with it, or an empty string. A session of an earlier build has no profile and sets no limits.
+func (r *Registrar) limitRefusal(g jaygw.RunGrant, earlier int) string {
 	id, profile := g.Run.Task, r.state.Sessions[g.VM].Profile
 	w := r.state.Workflows[id.Workflow]
 	step := &w.Spec.Steps[id.Step]
-	taken, sameStep := jaygw.Resources{}, 0
+	taken, sameStep := step.Reserved().Times(earlier), earlier
 	if runs := r.runsByVM[g.VM]; runs != nil {
-		taken, sameStep = runs.taken, runs.steps[stepOf(id)]
-	}
-	for _, b := range before {
-		if b.VM == g.VM {
-			taken, sameStep = taken.Add(step.Reserved()), sameStep+1
-		}
+		taken, sameStep = taken.Add(runs.taken), sameStep+runs.steps[stepOf(id)]
 	}
 	switch {
 	case step.MaxPerVM > 0 && sameStep >= step.MaxPerVM:
--- a/resources.go
+++ b/resources.go
@@ -18,6 +18,11 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.CPU * MilliCores(n), r.Memory * Bytes(n), r.Accelerators * int64(n)}
+}
+
 // Max returns the larger of r and o in each dimension.
 func (r Resources) Max(o Resources) Resources {
 	return Resources{max(r.CPU, o.CPU), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
