Grant nothing on a VM that reports a run which the state does not place there

What callers saw: ROUTE and LIMIT, in the case that a worker still has a run which the leader has given up. Cause: the room of a VM was counted from the state alone, although the latest poll named a run that the state does not place there: one whose order was carried out late, or whose lease the leader counts as over. One response stopped it and started others in its room. Change: such a VM gets no grants until a poll reports the run as ended or no longer reports it.

--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -51,6 +51,7 @@
 		reported  map[jaygw.Run]jaygw.ReportedRun // runs in the latest poll
 		spareLoad []estimator.ImageLoad           // load by spare runs among the reported runs
 		stalled   map[jaygw.Run]time.Time         // start of the stall, by stalled spare run
+		unplaced  bool                            // the latest poll reports a run that the state does not place on the VM
 		expiring  bool                            // the end of the lease is proposed and not known to be committed
 	}
 )
@@ -126,6 +127,7 @@
 		for _, k := range request.Runs {
 			reported[k.Run] = k
 		}
+		vm.unplaced = hasUnplaced(request, state)
 		t.siblings.replace(request.VM, vm.reported, reported)
 		vm.reported = reported
 		vm.spareLoad = spareLoad(vm, state)
@@ -144,6 +146,15 @@
 	return &jaygw.Command{EndRuns: &jaygw.EndRuns{VM: request.VM, Ended: request.Ended}}, nil
 }
 
+// hasUnplaced reports whether a poll reports a run, other than an ended one, that the state does not place on the
+// VM. Its room may have been given to other runs.
+func hasUnplaced(request jaygw.PollRequest, state *registrar.Registrar) bool {
+	return slices.ContainsFunc(request.Runs, func(k jaygw.ReportedRun) bool {
+		return state.FindPlacement(request.VM, k.Run) == nil &&
+			!slices.ContainsFunc(request.Ended, func(e jaygw.EndedRun) bool { return e.Run == k.Run })
+	})
+}
+
 // buildResponse builds the response from a state that a quorum has confirmed since the poll
 // arrived.
 func (t *vmTable) buildResponse(request jaygw.PollRequest, state *registrar.Registrar, arrived, now time.Time) (jaygw.PollResponse, error) {
@@ -292,7 +303,7 @@
 	for name, vm := range t.vms {
 		session := state.Session(name)
 		if vm.worker == nil || vm.expiring || session == nil || session.Number != vm.session ||
-			vm.worker.Draining || out[vm.worker.Domain] || vm.unhealthy != "" || now.Sub(vm.lastPoll) > maxPollAge ||
+			vm.worker.Draining || out[vm.worker.Domain] || vm.unhealthy != "" || vm.unplaced || now.Sub(vm.lastPoll) > maxPollAge ||
 			now.Sub(vm.lastResponse) > maxResponseAge ||
 			t.speeds.Speed(name, now) < slowSpeed {
 			continue
