Withdraw grants whose failure domain was taken out before their order

Cause: the response to a poll ordered each placed run that the agent did not report, whenever that poll came, and did not look at the failure domain again. Change: no start is ordered in a domain that is out, and the leader stops the runs whose order the agent does not have, so that their tasks start elsewhere. Evidence: found by a review of the fix.

--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -172,6 +172,9 @@
 // Sessions returns all sessions by VM. The map must not be changed.
 func (r *Registrar) Sessions() map[string]*Session { return r.state.Sessions }
 
+// IsDomainOut reports whether a failure domain is out.
+func (r *Registrar) IsDomainOut(name string) bool { return r.domainOut(name) }
+
 // Active returns the workflows that have not ended, in the order of acceptance. The
 // slice must not be changed.
 func (r *Registrar) Active() []*Workflow { return r.active }
--- a/internal/schedule/orchestrator/progress.go
+++ b/internal/schedule/orchestrator/progress.go
@@ -113,6 +113,28 @@
 	return moves
 }
 
+// withdrawnRuns returns the runs to stop because they were granted in a failure domain that is out now and their
+// agent does not have the order yet.
+func (t *vmTable) withdrawnRuns(state *registrar.Registrar, out map[string]bool) []jaygw.StoppedRun {
+	if len(out) == 0 {
+		return nil
+	}
+	var withdrawn []jaygw.StoppedRun
+	for name, vm := range t.vms {
+		session := state.Session(name)
+		if vm.worker == nil || vm.expiring || session == nil || !out[session.Domain] {
+			continue
+		}
+		state.ForEachPlacement(name, func(p *registrar.Placement) {
+			if _, reported := vm.reported[p.Run]; !reported && !p.Stopping {
+				withdrawn = append(withdrawn, jaygw.StoppedRun{Run: p.Run, VM: name, Reason: "the failure domain is out"})
+			}
+		})
+	}
+	slices.SortFunc(withdrawn, func(a, b jaygw.StoppedRun) int { return registrar.CompareRuns(a.Run, b.Run) })
+	return withdrawn
+}
+
 func (t *vmTable) moveReason(
 	name string, vm *vmState, run jaygw.Run, step *jaygw.Step, slow bool, state *registrar.Registrar, now time.Time, wall jaygw.Time,
 ) string {
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -188,7 +188,7 @@
 			if traitsUnknown[p.Run] {
 				result.Traits = append(result.Traits, jaygw.RunWithTraits{Run: p.Run, Traits: traits(run.Step)})
 			}
-		case now.Sub(arrived) < permitValidity:
+		case now.Sub(arrived) < permitValidity && !state.IsDomainOut(session.Domain):
 			result.Starts = append(result.Starts, jaygw.StartOrder{
 				Run: p.Run, Payload: run.Payload, Checkpoint: run.Checkpoint, ValidFor: permitValidity, Ticket: p.Ticket, Traits: traits(run.Step),
 			})
@@ -240,6 +240,9 @@
 			commands = append(commands, jaygw.Command{StopRuns: &jaygw.StopRuns{Stops: moves}})
 		}
 	}
+	if withdrawn := t.withdrawnRuns(state, out); len(withdrawn) > 0 {
+		commands = append(commands, jaygw.Command{StopRuns: &jaygw.StopRuns{Stops: withdrawn}})
+	}
 	if !allocator.HasWaitingTasks(state.Active(), wall) {
 		return commands
 	}
