Propose announcements and reports of VMs only in the term in which they were read

What callers would have seen: a live agent is refused for good ("has announced a newer incarnation") after two restarts within one call. Cause: a former leader forwarded the announcement of an earlier incarnation to the next leader, which had recorded a later one. An announcement that is late within one term is not kept out.

--- a/internal/schedule/dispatcher/renew.go
+++ b/internal/schedule/dispatcher/renew.go
@@ -42,11 +42,16 @@
 	d.replica.Read(f)
 }
 
-// announce commits the renewal's announcement if it changes what is recorded of the VM.
+// announce commits the renewal's announcement if it changes what is recorded of the VM. It does so only in the term
+// in which it was read: a leader that is followed by another one must not forward an announcement that a later
+// incarnation may have overtaken.
 func (d *Dispatcher) announce(ctx context.Context, r jaygw.Renewal) error {
 	var command *jaygw.Command
 	var err error
-	d.read(func(machine *applier.Machine) { command, err = d.announceCommand(r, machine) })
+	d.read(func(machine *applier.Machine) {
+		ctx = jaygw.InTerm(ctx, d.term)
+		command, err = d.announceCommand(r, machine)
+	})
 	if command == nil || err != nil {
 		return err
 	}
@@ -63,6 +68,7 @@
 	var acknowledged uint64
 	var err error
 	d.read(func(machine *applier.Machine) {
+		ctx = jaygw.InTerm(ctx, d.term)
 		if err = d.recordRenewal(r, machine, now); err == nil {
 			command, acknowledged = d.reportCommand(r, machine)
 		}
