Count a workflow as waiting until a worker has begun a task

GET of a queue left out, and GET of a job showed as running, jobs of which no task had started. Cause: a grant ended the state "queued". An order without an answer may be carried out late or never, and with a lost VM nothing begins until its lease is over; the workflow counted as begun all the while. Class: an order is taken for its outcome. Change: a grant sets the mark Granted, which the order of decisions uses as it used the state, so decisions are the same. A workflow is running once a run of it has ended other than not-started or gone, or the leader has committed BeginWorkflows for it. Agents say of each reported run whether the worker has confirmed or listed it; the leader collects the workflows and commits them at most every 250 ms, after the commands about runs of the same decision. A poll is held for 1 s at most, so a begun workflow is shown as such within 2 s. Why committed: any replica answers a confirmed read, and the mark outlives the leader. Until it is committed every poll names the run again. The runs of earlier agents count once they show progress or end. An earlier replica skips the command, so it may show a workflow as queued that others show as running during an upgrade.

--- a/command.go
+++ b/command.go
@@ -44,6 +44,7 @@
 		EndRuns        *EndRuns        `cbor:"36,keyasint,omitempty"`
 		StopRuns       *StopRuns       `cbor:"37,keyasint,omitempty"`
 		LearnEffects   *LearnEffects   `cbor:"38,keyasint,omitempty"`
+		BeginWorkflows *BeginWorkflows `cbor:"39,keyasint,omitempty"`
 	}
 
 	// PutCatalog puts a catalog in force if its number is higher than that of the one in
@@ -110,6 +111,12 @@
 		Estimates []EffectEstimate `cbor:"1,keyasint"`
 	}
 
+	// BeginWorkflows records that workers have begun tasks of workflows. Workflows that have begun
+	// before are skipped.
+	BeginWorkflows struct {
+		IDs []string `cbor:"1,keyasint"`
+	}
+
 	// EndRuns records the ends of runs on a VM.
 	EndRuns struct {
 		VM    string     `cbor:"1,keyasint"`
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -62,6 +62,7 @@
 		progress    int
 		checkpoint  string
 		listed      bool      // whether the worker has listed it
+		confirmed   bool      // whether the worker has confirmed its start
 		stopCause   string    // why it is stopped
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
@@ -213,7 +214,7 @@
 		state := r.runs[id]
 		reported := jaygw.ReportedRun{
 			Run: id, Percent: state.progress, Checkpoint: state.checkpoint, TraitsUnknown: state.traits == nil && state.phase != ended,
-			SlowdownPercent: r.pacer.SlowdownPercent(id), Resumed: state.resumed,
+			SlowdownPercent: r.pacer.SlowdownPercent(id), Resumed: state.resumed, Confirmed: state.listed || state.confirmed,
 		}
 		if state.traits != nil && state.traits.LatencyTarget > 0 && state.phase == running {
 			reported.TailLatency = state.tailLatency
--- a/internal/agent/runner/starts.go
+++ b/internal/agent/runner/starts.go
@@ -100,7 +100,7 @@
 	case reply.Denied != "":
 		r.giveUp(id, state, "refused by the worker: "+string(reply.Denied), now)
 	default:
-		state.phase, state.since = running, now
+		state.phase, state.since, state.confirmed = running, now, true
 		return paceActions(r.pacer.DecideNew(r.observations(), now))
 	}
 	return nil
--- a/internal/control/applier/machine.go
+++ b/internal/control/applier/machine.go
@@ -202,6 +202,8 @@
 		return m.registrar.StopRuns(*c.StopRuns)
 	case c.LearnEffects != nil:
 		return m.registrar.LearnEffects(*c.LearnEffects)
+	case c.BeginWorkflows != nil:
+		return m.registrar.BeginWorkflows(*c.BeginWorkflows)
 	default:
 		return jaygw.Result{} // an empty command is a barrier
 	}
@@ -215,7 +217,7 @@
 		c.Evict != nil, c.Resize != nil, c.BlockedJobs != nil, c.Claim != nil, c.Settle != nil,
 		c.Catalog != nil, c.SubmitWorkflow != nil, c.CancelWorkflow != nil, c.OpenSession != nil, c.StartRuns != nil, c.EndRuns != nil,
 		c.StopRuns != nil,
-		c.LearnEffects != nil,
+		c.LearnEffects != nil, c.BeginWorkflows != nil,
 	} {
 		if set {
 			changes++
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -192,11 +192,28 @@
 	task.LastVM, task.LateVM = g.VM, ""
 	s.Held++
 	w.Runs++
-	w.State = jaygw.WorkflowRunning
+	w.Granted = true
 	r.addPlaced(&Placement{Run: g.Run, VM: g.VM, Session: g.Session, Since: now, Ticket: g.Ticket, Checkpoint: task.Checkpoint})
 	r.onChange(g.VM)
 }
 
+// BeginWorkflows records that workers have begun tasks of workflows.
+func (r *Registrar) BeginWorkflows(begin jaygw.BeginWorkflows) jaygw.Result {
+	for _, id := range begin.IDs {
+		if w := r.state.Workflows[id]; w != nil {
+			w.begin()
+		}
+	}
+	return jaygw.Result{}
+}
+
+// begin records that a worker has begun a task.
+func (w *Workflow) begin() {
+	if w.State == jaygw.WorkflowQueued {
+		w.State = jaygw.WorkflowRunning
+	}
+}
+
 // StopRuns marks runs to be stopped by their agents. Runs that have already ended are skipped.
 func (r *Registrar) StopRuns(stop jaygw.StopRuns) jaygw.Result {
 	for _, s := range stop.Stops {
@@ -242,6 +259,9 @@
 	if task == nil || w.State.Ended() {
 		return "the workflow has ended"
 	}
+	if e.Outcome.HasBegun() && e.Run.Number <= task.Number {
+		w.begin()
+	}
 	if p != nil {
 		task.Runs--
 		s.Held--
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -47,6 +47,8 @@
 		Occurrences []*Occurrence // repetitions of the steps; nil once the workflow has ended
 		Runs        int           // number of placed runs
 		Idle        jaygw.Time    // time of the acceptance, or of the end of the latest run
+		// Granted is set once a run has been granted, also if no worker has begun it.
+		Granted bool `cbor:",omitempty"`
 	}
 
 	// Occurrence is one repetition of the steps.
@@ -199,7 +201,17 @@
 	return placed, true
 }
 
-// CountQueued returns the number of workflows of a queue of which no task has started.
+// IsQueued reports whether a run has been granted for a workflow of which no worker is known to have begun a task.
+func (r *Registrar) IsQueued(run jaygw.Run) bool {
+	w := r.state.Workflows[run.Task.Workflow]
+	if w == nil || w.State != jaygw.WorkflowQueued {
+		return false
+	}
+	task := w.task(run.Task)
+	return task != nil && run.Number <= task.Number
+}
+
+// CountQueued returns the number of workflows of a queue of which no worker is known to have begun a task.
 func (r *Registrar) CountQueued(host, prefix string) int {
 	waiting := 0
 	for _, w := range r.active {
@@ -260,6 +272,10 @@
 	slices.SortFunc(r.active, func(a, b *Workflow) int { return compare(a.Order, b.Order) })
 }
 
+// HasGrants reports whether a run of the workflow has been granted. States of earlier builds show that by
+// the state of the workflow.
+func (w *Workflow) HasGrants() bool { return w.Granted || w.State != jaygw.WorkflowQueued }
+
 // clone returns a copy that later commands do not change.
 func (w *Workflow) clone() *Workflow {
 	c := *w
--- a/internal/schedule/allocator/urgency.go
+++ b/internal/schedule/allocator/urgency.go
@@ -20,7 +20,7 @@
 	urgency struct {
 		lateness      lateness
 		priority      int
-		unstarted     int // 0: some of its tasks have started; 1: none has
+		unstarted     int // 0: a run of it has been granted; 1: none has
 		remainingWork time.Duration
 		objective     jaygw.Time
 	}
@@ -46,7 +46,7 @@
 	if hasLastingStep(&w.Spec) {
 		return u
 	}
-	if w.State == jaygw.WorkflowQueued {
+	if !w.HasGrants() {
 		u.unstarted = 1
 	}
 	u.remainingWork = remainingWork(w, occurrence)
--- a/internal/schedule/orchestrator/report.go
+++ b/internal/schedule/orchestrator/report.go
@@ -62,6 +62,8 @@
 		fields["command"], fields["runs"], fields["vm"] = "end", len(command.EndRuns.Ended), command.EndRuns.VM
 	case command.LearnEffects != nil:
 		fields["command"] = "effects"
+	case command.BeginWorkflows != nil:
+		fields["command"], fields["count"] = "begin", len(command.BeginWorkflows.IDs)
 	}
 	fields["tasks"] = strings.Join(tasks, ", ")
 	return fields
@@ -83,6 +85,11 @@
 		o.log.WithFields(logrus.Fields{
 			"pairs": len(command.LearnEffects.Estimates), "index": result.Index,
 		}).Info("scheduler: effects of spare images recorded")
+	case command.BeginWorkflows != nil:
+		ids := command.BeginWorkflows.IDs
+		o.log.WithFields(from.fields()).WithFields(logrus.Fields{
+			"count": len(ids), "workflows": strings.Join(ids[:min(len(ids), maxLoggedTasks)], " "), "index": result.Index,
+		}).Info("scheduler: workflows begun")
 	case command.EndRuns != nil:
 		o.addToCounter("scheduler.leases-over", 1)
 		o.log.WithFields(logrus.Fields{
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -23,6 +23,7 @@
 		siblings          siblings
 		lastMoveCheck     time.Time // last check for runs that have to move
 		lastEffectsRecord time.Time // last time that the estimates of effects were recorded
+		begun             begunWorkflows
 
 		restoredTerm uint64 // term in which the recorded estimates were loaded
 
@@ -90,7 +91,7 @@
 
 func (t *vmTable) setLeadership(term uint64, leads bool, now time.Time) {
 	t.leads, t.term, t.leaderSince = leads, term, now
-	t.vms, t.siblings = map[string]*vmState{}, siblings{}
+	t.vms, t.siblings, t.begun = map[string]*vmState{}, siblings{}, begunWorkflows{}
 	clear(t.latePolls)
 }
 
@@ -125,6 +126,7 @@
 		reported := make(map[jaygw.Run]jaygw.ReportedRun, len(request.Runs))
 		for _, k := range request.Runs {
 			reported[k.Run] = k
+			t.begun.observe(k, state)
 		}
 		t.siblings.replace(request.VM, vm.reported, reported)
 		vm.reported = reported
@@ -218,6 +220,11 @@
 	if !t.leads {
 		return nil
 	}
+	return append(t.decideRuns(state, out, now, wall), t.begun.commands(state, now)...)
+}
+
+// decideRuns returns the commands that concern runs.
+func (t *vmTable) decideRuns(state *registrar.Registrar, out map[string]bool, now time.Time, wall jaygw.Time) []jaygw.Command {
 	commands := t.expireLeases(state, now)
 	if state.Catalog() == nil {
 		return commands
--- a/internal/schedule/orchestrator/vmtable_test.go
+++ b/internal/schedule/orchestrator/vmtable_test.go
@@ -78,6 +78,8 @@
 		h.state.StopRuns(*command.StopRuns)
 	case command.LearnEffects != nil:
 		h.state.LearnEffects(*command.LearnEffects)
+	case command.BeginWorkflows != nil:
+		h.state.BeginWorkflows(*command.BeginWorkflows)
 	}
 	h.table.recordOutcome(*command, nil)
 }
--- a/poll.go
+++ b/poll.go
@@ -72,6 +72,8 @@
 		// Resumed is set if the run started from a checkpoint, or was found on the worker
 		// by a new agent process. Its progress since its start then gives no speed.
 		Resumed bool `cbor:"7,keyasint,omitempty"`
+		// Confirmed is set once the worker has confirmed or listed the run. Earlier builds do not set it.
+		Confirmed bool `cbor:"9,keyasint,omitempty"`
 	}
 
 	// PollRequest is an agent's poll of the leader: it reports what the worker runs and
@@ -399,6 +401,9 @@
 	return &WorkerProfile{Service: w.Service, Size: w.Size, Labels: w.Labels}
 }
 
+// HasBegun reports whether the worker is known to have begun the run.
+func (r ReportedRun) HasBegun() bool { return r.Confirmed || r.Percent > 0 }
+
 // Equal reports whether two profiles are the same. Either may be nil.
 func (p *WorkerProfile) Equal(o *WorkerProfile) bool {
 	if p == nil || o == nil {
--- a/workflow.go
+++ b/workflow.go
@@ -148,9 +148,9 @@
 )
 
 const (
-	// WorkflowQueued means that no task has started yet.
+	// WorkflowQueued means that no worker is known to have begun a task.
 	WorkflowQueued WorkflowState = "queued"
-	// WorkflowRunning means that a task has started.
+	// WorkflowRunning means that a worker has begun a task.
 	WorkflowRunning WorkflowState = "running"
 	// WorkflowCompleted means that all tasks are done.
 	WorkflowCompleted WorkflowState = "completed"
@@ -186,6 +186,9 @@
 	return s == WorkflowCompleted || s == WorkflowFailed || s == WorkflowCanceled
 }
 
+// HasBegun reports whether a run with this outcome was begun by its worker. Of a lost worker that is not known.
+func (o RunOutcome) HasBegun() bool { return o != RunNotStarted && o != RunWorkerLost }
+
 // String returns the task's name: workflow, occurrence, step and index, joined by
 // dots.
 func (t StepTask) String() string {
