Judge no worker as slow by a run that it has not begun

Cause: the speed of a VM was judged by the progress of its runs since their grants. A run whose start is not confirmed makes no progress, and two samples of it made a sound VM slow: it got no new runs for up to 3 s, and the runs that it had were stopped and moved. Class: an order is taken for its outcome. Change: a run counts once the worker has confirmed or listed it, or it shows progress. Evidence: TestUnconfirmedStartMakesWorkerSlow failed before.

--- a/internal/schedule/orchestrator/progress.go
+++ b/internal/schedule/orchestrator/progress.go
@@ -52,10 +52,11 @@
 }
 
 // progressRate returns a run's progress in percent per second. Spare runs are left out because they
-// only get the remaining capacity, and lasting runs because they make no progress.
+// only get the remaining capacity, lasting runs because they make no progress, and runs that the worker
+// may not have begun.
 func (t *vmTable) progressRate(vm string, run jaygw.Run, report jaygw.ReportedRun, state *registrar.Registrar, wall jaygw.Time) (float64, bool) {
 	step, placed := stepSpec(state, run), state.FindPlacement(vm, run)
-	if step == nil || placed == nil || step.Lasting || step.Spare || step.Gang || report.Resumed {
+	if step == nil || placed == nil || step.Lasting || step.Spare || step.Gang || report.Resumed || !report.HasBegun() {
 		return 0, false
 	}
 	age := wall.Sub(placed.Since)
--- a/internal/schedule/orchestrator/unconfirmed_test.go
+++ b/internal/schedule/orchestrator/unconfirmed_test.go
@@ -75,3 +75,32 @@
 		})
 	}
 }
+
+// TestUnconfirmedStartMakesWorkerSlow guards against a sound worker that gets no more runs and loses those that it has,
+// because runs that it was ordered to start and has not begun make no progress.
+func TestUnconfirmedStartMakesWorkerSlow(t *testing.T) {
+	h := newHarness(t, "a", "b", "c", "d")
+	h.submit("w", step(8))
+	h.decide()
+	for range 6 {
+		h.now = h.now.Add(300 * time.Millisecond)
+		for _, vm := range []string{"a", "b", "c", "d"} {
+			h.reported[vm] = nil
+			for _, run := range h.placed(vm) {
+				report := jaygw.ReportedRun{Run: run}
+				if vm != "d" {
+					age := jaygw.TimeOf(h.now).Sub(h.state.FindPlacement(vm, run).Since)
+					report.Confirmed, report.Percent = true, int(age.Milliseconds()/20)
+				}
+				h.reported[vm] = append(h.reported[vm], report)
+			}
+			h.poll(vm)
+		}
+		h.decide()
+	}
+	require.NotEmpty(t, h.placed("d"))
+	for _, run := range h.placed("d") {
+		require.False(t, h.state.FindPlacement("d", run).Stopping)
+	}
+	require.InDelta(t, 1, h.table.speeds.Speed("d", h.now), 0.01)
+}
