--- a/internal/schedule/orchestrator/vmtable_test.go
+++ b/internal/schedule/orchestrator/vmtable_test.go
@@ -78,6 +78,8 @@
 		h.state.StopRuns(*command.StopRuns)
 	case command.LearnEffects != nil:
 		h.state.LearnEffects(*command.LearnEffects)
+	case command.BeginWorkflows != nil:
+		h.state.BeginWorkflows(*command.BeginWorkflows)
 	}
 	h.table.recordOutcome(*command, nil)
 }
@@ -190,7 +192,7 @@
 				if vm == "d" {
 					percent = 0
 				}
-				h.reported[vm] = append(h.reported[vm], jaygw.ReportedRun{Run: run, Percent: percent})
+				h.reported[vm] = append(h.reported[vm], jaygw.ReportedRun{Run: run, Percent: percent, Confirmed: true})
 			}
 			h.poll(vm)
 		}
