Log runs that a worker lists unexpectedly

Change: Runner.Unexpected returns the runs that the latest list was the first to show although this process had not ordered them or they had ended, with the outcome of the end and its age; the agent logs each, at most 10 lines a list, the last with the number left out.

--- a/internal/agent/poller/log_test.go
+++ b/internal/agent/poller/log_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/runner"
+	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 )
@@ -47,3 +48,25 @@
 		uint64(1): "it is known", uint64(2): "the permit was over on arrival", uint64(3): "the worker has started again", "stop": "the leader",
 	}, reasons)
 }
+
+// TestUnexpectedRunsInLog guards against runs that the worker lists and that nobody ordered without a line, and
+// against a line for each of many.
+func TestUnexpectedRunsInLog(t *testing.T) {
+	log, logged := logtest.NewNullLogger()
+	worker := &workerStub{}
+	for number := range uint64(maxUnexpectedLines + 3) {
+		worker.running = append(worker.running, jaygw.RunningRun{Run: jaygw.Run{Task: jaygw.StepTask{Workflow: "w", Index: int(number)}, Number: 1}})
+	}
+	a := New(nil, worker, runner.New("vm", 1, time.Second), WithLogger(log))
+	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
+	require.NoError(t, a.listRuns(t.Context(), 0))
+	var lines []*logrus.Entry
+	for _, entry := range logged.AllEntries() {
+		if entry.Message == "agent: run unexpected on worker" {
+			lines = append(lines, entry)
+		}
+	}
+	require.Len(t, lines, maxUnexpectedLines)
+	require.Equal(t, int64(10), lines[0].Data["born"])
+	require.Equal(t, 3, lines[maxUnexpectedLines-1].Data["omitted"])
+}
--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// logUnexpected logs the runs that a worker lists unexpectedly; the last line has the number of those left out.
+func (a *Poller) logUnexpected(runs []runner.Unexpected, incarnation jaygw.WorkerIncarnation, session uint64) {
+	logged := runs[:min(len(runs), maxUnexpectedLines)]
+	for i, u := range logged {
+		log := a.log.WithFields(logrus.Fields{
+			"task": u.Run.Task.String(), "run": u.Run.Number, "worker": incarnation.Name, "born": int64(incarnation.StartTime),
+			"session": session, "reason": u.Reason, "outcome": string(u.Outcome), "end-age": u.Age.String(),
+		})
+		if i == len(logged)-1 {
+			log = log.WithField("omitted", len(runs)-len(logged))
+		}
+		log.Warn("agent: run unexpected on worker")
+	}
+}
+
 func (a *Poller) stop(ctx context.Context, run jaygw.Run, cause string) {
 	a.mu.Lock()
 	incarnation, fence := a.incarnation()
--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -80,6 +80,9 @@
 	// immediately and only repeat these ends.
 	recordWait = 100 * time.Millisecond
 
+	// maxUnexpectedLines limits the log lines about unexpected runs in one list.
+	maxUnexpectedLines = 10
+
 	tickInterval = 100 * time.Millisecond
 )
 
@@ -150,11 +153,14 @@
 		return errContradiction
 	}
 	changed := a.runner.Report(w, clock, a.now())
+	var unexpected []runner.Unexpected
 	if !confirmed {
 		a.runner.Confirmed(list, requestedAt, a.now())
+		unexpected = a.runner.Unexpected()
 	}
 	a.lastReport = a.now()
 	a.mu.Unlock()
+	a.logUnexpected(unexpected, w.Incarnation, 0)
 	if changed {
 		a.log.WithFields(logrus.Fields{
 			"worker": w.Incarnation.Name, "born": int64(w.Incarnation.StartTime), "draining": w.Draining, "service": w.Service,
@@ -341,13 +347,16 @@
 		return err
 	}
 	var actions []runner.Action
+	var unexpected []runner.Unexpected
 	changed := false
 	if a.isCurrent(incarnation) {
 		actions, changed = a.runner.Listed(list, start, a.now())
+		unexpected = a.runner.Unexpected()
 	}
 	oddRows := a.oddRows
 	a.oddRows = len(list.Unreadable)
 	a.mu.Unlock()
+	a.logUnexpected(unexpected, incarnation, extension.Fence)
 	if len(list.Unreadable) != oddRows {
 		a.log.WithFields(logrus.Fields{"rows": len(list.Unreadable), "error": errors.Join(list.Unreadable[:min(1, len(list.Unreadable))]...)}).
 			Warn("agent: rows of the worker's list not readable")
--- a/internal/agent/runner/ends.go
+++ b/internal/agent/runner/ends.go
@@ -89,7 +89,7 @@
 
 // markEnded ends a run. The end is reported until the leader has recorded it.
 func (r *Runner) markEnded(state *run, end jaygw.EndedRun, now time.Time) {
-	state.phase, state.since, state.end, state.endSequence = ended, now, &end, r.sequence
+	state.phase, state.since, state.end, state.endSequence, state.revived = ended, now, &end, r.sequence, false
 }
 
 // settle removes a run whose end the leader has recorded, and lets the worker discard it. A response
@@ -100,7 +100,7 @@
 		return
 	}
 	delete(r.runs, id)
-	r.settled[id] = now
+	r.settled[id] = settledEnd{outcome: state.end.Outcome, at: now}
 	for i := range r.ends {
 		if r.ends[i].run == id {
 			r.ends[i].recorded = true
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -34,18 +34,19 @@
 		runs            map[jaygw.Run]*run
 		drops           []Drop // starts of the latest response that were dropped
 		pacer           *pacer.Pacer
-		settled         map[jaygw.Run]time.Time // runs whose end the leader has recorded, with the time of its response
-		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
-		recordedThrough uint64                  // the leader has recorded all ends up to this number
-		firstListed     uint64                  // lowest number of an end in the latest list; zero if none
-		lastList        time.Time               // time of the last list, initially of the worker's first report
-		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
-		knowsRuns       bool                    // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
-		truncated       bool                    // whether the worker may have more ends than in its last list
-		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
-		lastDeadline    time.Time               // when the latest order with a deadline was sent
-		earlierDeadline time.Time               // the same, for the earlier incarnation with the worker's name; zero if none
-		longLeaseEnd    time.Time               // end of a lease that the agent did not mean to grant; zero if there is none
+		settled         map[jaygw.Run]settledEnd // runs whose end the leader has recorded
+		unexpected      []Unexpected             // of the latest list
+		ends            []numberedEnd            // listed ends from the first unrecorded one, ordered by number
+		recordedThrough uint64                   // the leader has recorded all ends up to this number
+		firstListed     uint64                   // lowest number of an end in the latest list; zero if none
+		lastList        time.Time                // time of the last list, initially of the worker's first report
+		adopted         bool                     // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
+		knowsRuns       bool                     // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
+		truncated       bool                     // whether the worker may have more ends than in its last list
+		workerLeaseEnd  time.Time                // time until which the worker may continue without the agent
+		lastDeadline    time.Time                // when the latest order with a deadline was sent
+		earlierDeadline time.Time                // the same, for the earlier incarnation with the worker's name; zero if none
+		longLeaseEnd    time.Time                // end of a lease that the agent did not mean to grant; zero if there is none
 		contact         contact
 	}
 
@@ -66,6 +67,12 @@
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
 		endSequence uint64 // number of the latest poll when the end became known; later polls report it
+		revived     bool   // whether the latest list has the run although it has ended
+	}
+
+	settledEnd struct {
+		outcome jaygw.RunOutcome
+		at      time.Time // when the leader's response arrived
 	}
 
 	numberedEnd struct {
@@ -97,6 +104,15 @@
 		StartBy time.Time
 		Reason  string
 	}
+
+	// Unexpected is a run that the worker has begun to list although this agent process has not ordered it, or
+	// has taken it for ended.
+	Unexpected struct {
+		Run     jaygw.Run
+		Reason  string
+		Outcome jaygw.RunOutcome // of its earlier end; empty if there was none
+		Age     time.Duration    // since that end was known, or recorded by the leader
+	}
 )
 
 const (
@@ -136,7 +152,7 @@
 func New(vm string, process uint64, longestLease time.Duration) *Runner {
 	return &Runner{
 		vm: vm, process: process, longestLease: longestLease,
-		sent: map[uint64]time.Time{}, runs: map[jaygw.Run]*run{}, settled: map[jaygw.Run]time.Time{},
+		sent: map[uint64]time.Time{}, runs: map[jaygw.Run]*run{}, settled: map[jaygw.Run]settledEnd{},
 	}
 }
 
@@ -162,7 +178,7 @@
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
-		r.adopted, r.truncated = false, false
+		r.adopted, r.truncated, r.unexpected = false, false, nil
 		r.worker = &w
 		return true
 	}
@@ -278,8 +294,8 @@
 			delete(r.sent, sequence)
 		}
 	}
-	for id, settledAt := range r.settled {
-		if now.Sub(settledAt) > settledRetention {
+	for id, end := range r.settled {
+		if now.Sub(end.at) > settledRetention {
 			delete(r.settled, id)
 		}
 	}
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -29,6 +29,7 @@
 //	listed AGE [running=RUN] [ended=NUMBER:RUN:OUTCOME] [truncated]   list that was requested AGE ago
 //	list-denied DENIAL              a request for a list was denied
 //	list-timeout                    a request for a list got no response
+//	unexpected                      runs that the latest list shows unexpectedly
 //	idle                            whether the worker need not be asked for a list
 //	due                             stops that are sent now
 type interpreter struct {
@@ -129,6 +130,10 @@
 		in.addActions(actions)
 	case "list-timeout":
 		in.runner.ListFailed(now)
+	case "unexpected":
+		for _, u := range in.runner.Unexpected() {
+			in.results = append(in.results, fmt.Sprintf("%s:%s:%s", format(u.Run), u.Outcome, u.Age))
+		}
 	case "idle":
 		if in.runner.Idle() {
 			in.results = append(in.results, "idle")
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -194,6 +194,7 @@
 // Listed handles a list that was requested from the worker at requestedAt. It returns the
 // actions to perform and whether there is something to report to the leader.
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
+	r.unexpected = nil
 	if r.worker != nil && list.Denied != "" {
 		r.ListFailed(now)
 		if list.Denied == jaygw.DeniedIncarnation {
@@ -239,6 +240,7 @@
 	actions = paceActions(r.pacer.Decide(r.observations(), now))
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
+		state.revived = state.revived && present[id]
 		if present[id] || !state.since.Before(requestedAt) {
 			continue
 		}
@@ -259,6 +261,10 @@
 	return actions, report
 }
 
+// Unexpected returns the runs that the latest list was the first to show although they were not ordered or had
+// ended.
+func (r *Runner) Unexpected() []Unexpected { return r.unexpected }
+
 // observations returns the state of the running runs in the last list.
 func (r *Runner) observations() []pacer.Observation {
 	var observations []pacer.Observation
@@ -319,10 +325,21 @@
 func (r *Runner) addRunning(listedRun jaygw.RunningRun, now time.Time) bool {
 	state := r.runs[listedRun.Run]
 	if state == nil {
+		unexpected := Unexpected{Run: listedRun.Run, Reason: "it was not ordered by this process"}
+		if end, settled := r.settled[listedRun.Run]; settled {
+			unexpected.Reason, unexpected.Outcome, unexpected.Age = "its end is recorded", end.outcome, now.Sub(end.at)
+		}
+		r.unexpected = append(r.unexpected, unexpected)
 		delete(r.settled, listedRun.Run)
 		r.runs[listedRun.Run] = &run{phase: running, since: now, listed: true, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
 		return true
 	}
+	if state.phase == ended && !state.revived {
+		state.revived = true
+		r.unexpected = append(r.unexpected, Unexpected{
+			Run: listedRun.Run, Reason: "its end is known", Outcome: state.end.Outcome, Age: now.Sub(state.since),
+		})
+	}
 	state.listed = true
 	state.progress, state.tailLatency, state.usedCPU = listedRun.Percent, listedRun.TailLatency, listedRun.UsedCPU
 	if listedRun.Checkpoint != "" {
