Hold starts beside runs that the leader does not count

Cause: the leader gives the room of a run to others once its end is recorded, and a worker may still have the run: an order that was given up reaches the later incarnation between its report and its first list, the agent has taken the run for ended, or the leader has ended the lease of the VM. The agent adopts such a run, or keeps it as ended, and carries out the starts of the same and later responses beside it until the leader has had it stopped. Class: a start is carried out although the agent knows more than the leader did when it granted it. Change: holdReason says whether a start must wait, on arrival and immediately before the call. While the worker lists a run that the leader may not count, starts are forgotten, so that the response to the report of that run's end orders them again. A response names the reported runs that are not assigned to the VM (PollResponse.Unplaced); an adopted run counts with the first response to a poll that reports it and does not stop it. Without such a run nothing is delayed. Evidence: start-beside-unordered-run.script and start-beside-ended-run.script failed before: the start was sent at once.

--- a/internal/agent/poller/perform.go
+++ b/internal/agent/poller/perform.go
@@ -35,7 +35,7 @@
 	fields := a.startFields(order, startBy, now)
 	a.mu.Unlock()
 	a.log.WithFields(fields).WithFields(logrus.Fields{
-		"admitted": ok, "reason": decision.Refusal, "inherited": decision.Inherited, "deadline": decision.Deadline.String(),
+		"admitted": ok, "reason": decision.Refusal, "held": decision.Held, "inherited": decision.Inherited, "deadline": decision.Deadline.String(),
 	}).Info("agent: start decided")
 	if !ok {
 		notify(a.reportReady)
--- a/internal/agent/runner/ends.go
+++ b/internal/agent/runner/ends.go
@@ -99,8 +99,12 @@
 	if state == nil || state.phase != ended || sequence <= state.endSequence {
 		return
 	}
-	delete(r.runs, id)
-	r.settled[id] = settledEnd{outcome: state.end.Outcome, at: now}
+	if state.revived {
+		r.runs[id] = r.adopt(state.progress, state.checkpoint, now)
+	} else {
+		delete(r.runs, id)
+		r.settled[id] = settledEnd{outcome: state.end.Outcome, at: now}
+	}
 	for i := range r.ends {
 		if r.ends[i].run == id {
 			r.ends[i].recorded = true
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -33,6 +33,7 @@
 
 		runs            map[jaygw.Run]*run
 		drops           []Drop // starts of the latest response that were dropped
+		held            bool   // whether a start was held since the last list
 		pacer           *pacer.Pacer
 		settled         map[jaygw.Run]settledEnd // runs whose end the leader has recorded
 		unexpected      []Unexpected             // of the latest list
@@ -68,6 +69,8 @@
 		end         *jaygw.EndedRun
 		endSequence uint64 // number of the latest poll when the end became known; later polls report it
 		revived     bool   // whether the latest list has the run although it has ended
+		uncounted   bool   // whether the leader may not count the run and may have given its room to others
+		adoptedAt   uint64 // number of the latest poll when the run was adopted; later polls report it
 	}
 
 	settledEnd struct {
@@ -96,6 +99,7 @@
 		Deadline  time.Duration // on the worker's clock; zero if the start is refused
 		Refusal   string        // why it is not sent; empty if it is
 		Inherited bool          // whether an earlier agent process may have started the run
+		Held      bool          // whether the start is left to a later response
 	}
 
 	// Drop is a start order that led to no action.
@@ -173,6 +177,9 @@
 			r.earlierDeadline = r.lastDeadline
 		}
 		maps.DeleteFunc(r.runs, func(_ jaygw.Run, state *run) bool { return state.phase != ended })
+		for _, state := range r.runs {
+			state.revived = false
+		}
 		r.pacer = pacer.New()
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
@@ -268,6 +275,7 @@
 	for _, id := range result.Recorded {
 		r.settle(id, result.Sequence, now)
 	}
+	r.recordCounted(result)
 	r.pacer.Learn(result.Effects)
 	for _, t := range result.Traits {
 		if state := r.runs[t.Run]; state != nil {
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -21,7 +21,7 @@
 //
 //	report INCARNATION [draining]   the worker reports its state
 //	poll                            a poll is sent to the leader
-//	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN]
+//	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN] [unplaced=RUN]
 //	admit RUN                       a start is about to be sent
 //	started RUN ok|DENIAL|timeout   result of a start
 //	stopped RUN ok|timeout          result of a stop
@@ -160,6 +160,8 @@
 			result.Starts = append(result.Starts, jaygw.StartOrder{Run: in.run(value), ValidFor: 2 * time.Second})
 		case "stop":
 			result.Stops = append(result.Stops, in.run(value))
+		case "unplaced":
+			result.Unplaced = append(result.Unplaced, in.run(value))
 		case "recorded":
 			result.Recorded = append(result.Recorded, in.run(value))
 		}
--- a/internal/agent/runner/starts.go
+++ b/internal/agent/runner/starts.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -23,11 +24,16 @@
 	if !now.Before(startBy) {
 		return drop("the permit was over on arrival") // the next response carries a new one
 	}
-	r.runs[id] = state
 	if r.worker.Draining {
+		r.runs[id] = state
 		r.giveUp(id, state, reasonDraining, now)
 		return drop(reasonDraining)
 	}
+	if reason := r.holdReason(); reason != "" {
+		r.held = true
+		return drop(reason)
+	}
+	r.runs[id] = state
 	return &Action{Start: &order, StartBy: startBy}
 }
 
@@ -56,6 +62,11 @@
 		}
 		return decision, false
 	}
+	if reason := r.holdReason(); reason != "" {
+		delete(r.runs, id)
+		r.held = true
+		return StartDecision{Refusal: reason, Inherited: state.inherited, Held: true}, false
+	}
 	end := now.Add(startWindow)
 	if r.leaseEnd.Before(end) {
 		end = r.leaseEnd
@@ -86,6 +97,31 @@
 	return ""
 }
 
+// holdReason returns why no start is sent for now, or an empty string. The runner forgets a held start, so that
+// a later response orders it again, with a new permit.
+func (r *Runner) holdReason() string {
+	for _, state := range r.runs {
+		if state.revived || state.uncounted && state.phase != ended {
+			return "the worker has a run that the leader may not count"
+		}
+	}
+	return ""
+}
+
+// recordCounted records which runs the leader counts to the VM, as of a response.
+func (r *Runner) recordCounted(result jaygw.PollResponse) {
+	for id, state := range r.runs {
+		if state.uncounted && result.Sequence > state.adoptedAt && !slices.Contains(result.Stops, id) {
+			state.uncounted = false
+		}
+	}
+	for _, id := range result.Unplaced {
+		if state := r.runs[id]; state != nil {
+			state.uncounted = true
+		}
+	}
+}
+
 // Started handles the result of a start and returns the actions to perform: a spare run gets its
 // pace.
 func (r *Runner) Started(id jaygw.Run, reply jaygw.WorkerResponse, err error, now time.Time) []Action {
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -258,6 +258,9 @@
 			report = true
 		}
 	}
+	if r.held && r.holdReason() == "" {
+		r.held, report = false, true // the response orders the held starts again
+	}
 	return actions, report
 }
 
@@ -331,7 +334,7 @@
 		}
 		r.unexpected = append(r.unexpected, unexpected)
 		delete(r.settled, listedRun.Run)
-		r.runs[listedRun.Run] = &run{phase: running, since: now, listed: true, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
+		r.runs[listedRun.Run] = r.adopt(listedRun.Percent, listedRun.Checkpoint, now)
 		return true
 	}
 	if state.phase == ended && !state.revived {
@@ -351,6 +354,15 @@
 	return false
 }
 
+// adopt returns a listed run that this process has not ordered, or whose end the leader has recorded. The leader
+// may not count it until a response to a later poll shows that it does.
+func (r *Runner) adopt(progress int, checkpoint string, now time.Time) *run {
+	return &run{
+		phase: running, since: now, listed: true, progress: progress, checkpoint: checkpoint, resumed: true,
+		uncounted: true, adoptedAt: r.sequence,
+	}
+}
+
 func (r *Runner) sortedRuns() []jaygw.Run {
 	ids := make([]jaygw.Run, 0, len(r.runs))
 	for id := range r.runs {
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -158,8 +158,9 @@
 		return jaygw.PollResponse{}, errExpiring
 	}
 	result := jaygw.PollResponse{Session: session.Number, Sequence: request.Sequence, Lease: t.leaseDuration}
+	hasEnded := make(map[jaygw.Run]bool, len(request.Ended))
 	for _, e := range request.Ended {
-		result.Recorded = append(result.Recorded, e.Run)
+		result.Recorded, hasEnded[e.Run] = append(result.Recorded, e.Run), true
 	}
 	reported, traitsUnknown := make(map[jaygw.Run]bool, len(request.Runs)), map[jaygw.Run]bool{}
 	for _, k := range request.Runs {
@@ -194,6 +195,9 @@
 		if !current[k.Run] {
 			result.Stops = append(result.Stops, k.Run)
 		}
+		if !hasEnded[k.Run] && state.FindPlacement(request.VM, k.Run) == nil {
+			result.Unplaced = append(result.Unplaced, k.Run)
+		}
 	}
 	result.Effects = t.imageEffects(request.VM, state)
 	slices.SortFunc(result.Starts, func(x, y jaygw.StartOrder) int { return registrar.CompareRuns(x.Run, y.Run) })
--- a/poll.go
+++ b/poll.go
@@ -188,6 +188,9 @@
 		Traits []RunWithTraits `cbor:"8,keyasint,omitempty"`
 		// Effects holds the estimates for the images on the VM.
 		Effects []ImageEffect `cbor:"9,keyasint,omitempty"`
+		// Unplaced lists the reported runs that are not assigned to the VM, without those that the poll
+		// reports as ended: their room may have been given to other runs.
+		Unplaced []Run `cbor:"10,keyasint,omitempty"`
 	}
 
 	// WorkflowQuery asks for a confirmed reading of the control state: of the catalog if
