Hold starts until the worker has listed its runs to the session

Cause: an agent that has confirmed a worker carries out the starts of the first responses before the worker has listed its runs with the token of the session. Until that list, orders of the earlier incarnation or of an earlier agent process are still taken, and what they have started is not known; the leader has ended those runs and given their room to others. Change: Confirmed demands a list that was requested with the token, and holdReason holds starts until it is there. The list is asked for at once, and a start that was held is ordered again by the response to the report that the list triggers; an agent that has started again no longer orders what the worker has. Three tests of the poller got their start with the first response; it now comes with the second, after the list, and their assertions are unchanged.

--- a/internal/agent/poller/log_test.go
+++ b/internal/agent/poller/log_test.go
@@ -18,13 +18,18 @@
 	worker := &workerStub{stop: jaygw.WorkerResponse{Denied: jaygw.DeniedUnhealthy}}
 	run := func(number uint64) jaygw.Run { return jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: number} }
 	now := time.Unix(1000, 0)
-	leader := leaderFunc(func(jaygw.PollRequest) jaygw.PollResponse {
+	leader := leaderFunc(func(request jaygw.PollRequest) jaygw.PollResponse {
+		if request.Sequence == 1 {
+			return jaygw.PollResponse{Session: 7, Lease: time.Second}
+		}
 		return jaygw.PollResponse{Session: 7, Lease: time.Second, Stops: []jaygw.Run{run(1)}, Starts: []jaygw.StartOrder{
 			{Run: run(1), ValidFor: time.Second}, {Run: run(2)}, {Run: run(3), ValidFor: time.Second},
 		}}
 	})
 	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(log), WithClock(func() time.Time { return now }))
 	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	a.runner.Listed(jaygw.RunList{Incarnation: worker.incarnation, Truncated: true}, now, now)
 	a.runner.Listed(jaygw.RunList{WorkerResponse: jaygw.WorkerResponse{Denied: jaygw.DeniedIncarnation}}, now, now)
 	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
 	a.goroutines.Wait()
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -79,9 +79,9 @@
 	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
 	session := uint64(7)
 	now := time.Unix(1000, 0)
-	leader := leaderFunc(func(jaygw.PollRequest) jaygw.PollResponse {
+	leader := leaderFunc(func(request jaygw.PollRequest) jaygw.PollResponse {
 		response := jaygw.PollResponse{Session: session, Lease: lease}
-		if session == 7 {
+		if session == 7 && request.Sequence > 1 {
 			response.Starts = []jaygw.StartOrder{{Run: run, ValidFor: time.Second}}
 		}
 		return response
@@ -89,6 +89,8 @@
 	a := New(leader, worker, runner.New("vm", 1, lease), WithLogger(logrus.FieldLogger(log)), WithClock(func() time.Time { return now }))
 	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
 	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	require.NoError(t, a.listRuns(t.Context(), 0))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
 	<-worker.started
 	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(20, time.Second), time.Second))
 	worker.release <- jaygw.WorkerResponse{Clock: time.Hour}
@@ -148,12 +150,18 @@
 	var ended []jaygw.EndedRun
 	leader := leaderFunc(func(request jaygw.PollRequest) jaygw.PollResponse {
 		ended = request.Ended
-		return jaygw.PollResponse{Session: 7, Lease: time.Second, Starts: []jaygw.StartOrder{{Run: run, ValidFor: time.Second}}}
+		response := jaygw.PollResponse{Session: 7, Lease: time.Second}
+		if request.Sequence > 1 {
+			response.Starts = []jaygw.StartOrder{{Run: run, ValidFor: time.Second}}
+		}
+		return response
 	})
 	a := New(leader, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)), WithClock(func() time.Time { return now }))
 	require.NoError(t, a.Heartbeat(t.Context(), worker.restart(10, time.Hour), time.Hour))
 	worker.release <- jaygw.WorkerResponse{Clock: time.Second}
 	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
+	require.NoError(t, a.listRuns(t.Context(), 0))
+	require.NoError(t, a.pollOnce(t.Context(), 0, time.Second))
 	a.goroutines.Wait()
 	worker.running = []jaygw.RunningRun{{Run: run}}
 	later := worker.restart(20, time.Second)
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -43,6 +43,7 @@
 		lastList        time.Time                // time of the last list, initially of the worker's first report
 		adopted         bool                     // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
 		knowsRuns       bool                     // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
+		awaitsList      bool                     // whether the worker was confirmed without a list to a session; orders that it does not know of may reach it
 		truncated       bool                     // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time                // time until which the worker may continue without the agent
 		lastDeadline    time.Time                // when the latest order with a deadline was sent
@@ -185,7 +186,7 @@
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
-		r.adopted, r.truncated, r.unexpected = false, false, nil
+		r.adopted, r.awaitsList, r.truncated, r.unexpected = false, false, false, nil
 		r.worker = &w
 		return true
 	}
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -27,6 +27,7 @@
 //	stopped RUN ok|timeout          result of a stop
 //	extend                          a request for a list is sent to the worker
 //	listed AGE [running=RUN] [ended=NUMBER:RUN:OUTCOME] [truncated]   list that was requested AGE ago
+//	confirmed [DENIAL]              list by which the worker has confirmed its incarnation, requested just now
 //	list-denied DENIAL              a request for a list was denied
 //	list-timeout                    a request for a list got no response
 //	unexpected                      runs that the latest list shows unexpectedly
@@ -124,6 +125,12 @@
 		}
 	case "listed":
 		in.listed(args, elapsed, now)
+	case "confirmed":
+		list := jaygw.RunList{Incarnation: in.incarnation, WorkerResponse: jaygw.WorkerResponse{Clock: elapsed}}
+		if len(args) > 0 {
+			list.Denied = jaygw.OrderDenial(args[0])
+		}
+		in.runner.Confirmed(list, now, now)
 	case "list-denied":
 		reply, _ := in.reply(args[0], elapsed)
 		actions, _ := in.runner.Listed(jaygw.RunList{WorkerResponse: reply, Incarnation: in.incarnation}, now, now)
--- a/internal/agent/runner/starts.go
+++ b/internal/agent/runner/starts.go
@@ -100,6 +100,9 @@
 // holdReason returns why no start is sent for now, or an empty string. The runner forgets a held start, so that
 // a later response orders it again, with a new permit.
 func (r *Runner) holdReason() string {
+	if r.awaitsList {
+		return "the worker has not listed its runs to the session"
+	}
 	for _, state := range r.runs {
 		if state.revived || state.uncounted && state.phase != ended {
 			return "the worker has a run that the leader may not count"
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -17,7 +17,7 @@
 		return true
 	}
 	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && r.firstListed == 0 &&
-		!r.lastList.IsZero() && r.adopted && !r.truncated
+		!r.lastList.IsZero() && r.adopted && !r.awaitsList && !r.truncated
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
@@ -26,7 +26,7 @@
 
 // Urgent reports whether the next list is needed immediately, before a run ends.
 func (r *Runner) Urgent() bool {
-	if !r.adopted {
+	if !r.adopted || r.awaitsList {
 		return true
 	}
 	for _, state := range r.runs {
@@ -120,6 +120,7 @@
 // poll that opens the session names what is on the list. It was requested without a token of that session,
 // so orders of an earlier agent process may still arrive, and the list does not count as complete.
 func (r *Runner) Confirmed(list jaygw.RunList, requestedAt, now time.Time) {
+	r.awaitsList = true
 	if list.Denied != "" {
 		return
 	}
@@ -219,7 +220,10 @@
 		r.contact.listFailedSince = time.Time{}
 	}
 	// After a request with the token of the session, the worker denies orders of earlier processes.
-	r.knowsRuns = r.knowsRuns || r.session != 0 && !requestedAt.Before(r.sessionAt) && !list.Truncated
+	if r.session != 0 && !requestedAt.Before(r.sessionAt) {
+		r.knowsRuns = r.knowsRuns || !list.Truncated
+		r.awaitsList = false
+	}
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
