--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -33,19 +33,22 @@
 
 		runs            map[jaygw.Run]*run
 		drops           []Drop // starts of the latest response that were dropped
+		held            bool   // whether a start was held since the last list
 		pacer           *pacer.Pacer
-		settled         map[jaygw.Run]time.Time // runs whose end the leader has recorded, with the time of its response
-		ends            []numberedEnd           // listed ends from the first unrecorded one, ordered by number
-		recordedThrough uint64                  // the leader has recorded all ends up to this number
-		firstListed     uint64                  // lowest number of an end in the latest list; zero if none
-		lastList        time.Time               // time of the last list, initially of the worker's first report
-		adopted         bool                    // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
-		knowsRuns       bool                    // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
-		truncated       bool                    // whether the worker may have more ends than in its last list
-		workerLeaseEnd  time.Time               // time until which the worker may continue without the agent
-		lastDeadline    time.Time               // when the latest order with a deadline was sent
-		earlierDeadline time.Time               // the same, for the earlier incarnation with the worker's name; zero if none
-		longLeaseEnd    time.Time               // end of a lease that the agent did not mean to grant; zero if there is none
+		settled         map[jaygw.Run]settledEnd // runs whose end the leader has recorded
+		unexpected      []Unexpected             // of the latest list
+		ends            []numberedEnd            // listed ends from the first unrecorded one, ordered by number
+		recordedThrough uint64                   // the leader has recorded all ends up to this number
+		firstListed     uint64                   // lowest number of an end in the latest list; zero if none
+		lastList        time.Time                // time of the last list, initially of the worker's first report
+		adopted         bool                     // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
+		knowsRuns       bool                     // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
+		awaitsList      bool                     // whether the worker was confirmed without a list to a session; orders that it does not know of may reach it
+		truncated       bool                     // whether the worker may have more ends than in its last list
+		workerLeaseEnd  time.Time                // time until which the worker may continue without the agent
+		lastDeadline    time.Time                // when the latest order with a deadline was sent
+		earlierDeadline time.Time                // the same, for the earlier incarnation with the worker's name; zero if none
+		longLeaseEnd    time.Time                // end of a lease that the agent did not mean to grant; zero if there is none
 		contact         contact
 	}
 
@@ -67,6 +70,14 @@
 		retryStopAt time.Time // when to send the stop again; zero while a stop is in flight
 		end         *jaygw.EndedRun
 		endSequence uint64 // number of the latest poll when the end became known; later polls report it
+		revived     bool   // whether the latest list has the run although it has ended
+		uncounted   bool   // whether the leader may not count the run and may have given its room to others
+		adoptedAt   uint64 // number of the latest poll when the run was adopted; later polls report it
+	}
+
+	settledEnd struct {
+		outcome jaygw.RunOutcome
+		at      time.Time // when the leader's response arrived
 	}
 
 	numberedEnd struct {
@@ -90,6 +101,7 @@
 		Deadline  time.Duration // on the worker's clock; zero if the start is refused
 		Refusal   string        // why it is not sent; empty if it is
 		Inherited bool          // whether an earlier agent process may have started the run
+		Held      bool          // whether the start is left to a later response
 	}
 
 	// Drop is a start order that led to no action.
@@ -98,6 +110,15 @@
 		StartBy time.Time
 		Reason  string
 	}
+
+	// Unexpected is a run that the worker has begun to list although this agent process has not ordered it, or
+	// has taken it for ended.
+	Unexpected struct {
+		Run     jaygw.Run
+		Reason  string
+		Outcome jaygw.RunOutcome // of its earlier end; empty if there was none
+		Age     time.Duration    // since that end was known, or recorded by the leader
+	}
 )
 
 const (
@@ -137,7 +158,7 @@
 func New(vm string, process uint64, longestLease time.Duration) *Runner {
 	return &Runner{
 		vm: vm, process: process, longestLease: longestLease,
-		sent: map[uint64]time.Time{}, runs: map[jaygw.Run]*run{}, settled: map[jaygw.Run]time.Time{},
+		sent: map[uint64]time.Time{}, runs: map[jaygw.Run]*run{}, settled: map[jaygw.Run]settledEnd{},
 	}
 }
 
@@ -158,12 +179,15 @@
 			r.earlierDeadline = r.lastDeadline
 		}
 		maps.DeleteFunc(r.runs, func(_ jaygw.Run, state *run) bool { return state.phase != ended })
+		for _, state := range r.runs {
+			state.revived = false
+		}
 		r.pacer = pacer.New()
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
-		r.adopted, r.truncated = false, false
+		r.adopted, r.awaitsList, r.truncated, r.unexpected = false, false, false, nil
 		r.worker = &w
 		return true
 	}
@@ -254,6 +278,7 @@
 	for _, id := range result.Recorded {
 		r.settle(id, result.Sequence, now)
 	}
+	r.recordCounted(result)
 	r.pacer.Learn(result.Effects)
 	for _, t := range result.Traits {
 		if state := r.runs[t.Run]; state != nil {
@@ -280,8 +305,8 @@
 			delete(r.sent, sequence)
 		}
 	}
-	for id, settledAt := range r.settled {
-		if now.Sub(settledAt) > settledRetention {
+	for id, end := range r.settled {
+		if now.Sub(end.at) > settledRetention {
 			delete(r.settled, id)
 		}
 	}
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -21,14 +21,16 @@
 //
 //	report INCARNATION [draining] [clock=READING]   the worker reports its state
 //	poll                            a poll is sent to the leader
-//	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN]
+//	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN] [unplaced=RUN]
 //	admit RUN                       a start is about to be sent
 //	started RUN ok|DENIAL|timeout   result of a start
 //	stopped RUN ok|timeout          result of a stop
 //	extend                          a request for a list is sent to the worker
 //	listed AGE [running=RUN] [ended=NUMBER:RUN:OUTCOME] [truncated]   list that was requested AGE ago
+//	confirmed [DENIAL]              list by which the worker has confirmed its incarnation, requested just now
 //	list-denied DENIAL              a request for a list was denied
 //	list-timeout                    a request for a list got no response
+//	unexpected                      runs that the latest list shows unexpectedly
 //	idle                            whether the worker need not be asked for a list
 //	due                             stops that are sent now
 type interpreter struct {
@@ -131,12 +133,22 @@
 		}
 	case "listed":
 		in.listed(args, elapsed, now)
+	case "confirmed":
+		list := jaygw.RunList{Incarnation: in.incarnation, WorkerResponse: jaygw.WorkerResponse{Clock: elapsed}}
+		if len(args) > 0 {
+			list.Denied = jaygw.OrderDenial(args[0])
+		}
+		in.runner.Confirmed(list, now, now)
 	case "list-denied":
 		reply, _ := in.reply(args[0], elapsed)
 		actions, _ := in.runner.Listed(jaygw.RunList{WorkerResponse: reply, Incarnation: in.incarnation}, now, now)
 		in.addActions(actions)
 	case "list-timeout":
 		in.runner.ListFailed(now)
+	case "unexpected":
+		for _, u := range in.runner.Unexpected() {
+			in.results = append(in.results, fmt.Sprintf("%s:%s:%s", format(u.Run), u.Outcome, u.Age))
+		}
 	case "idle":
 		if in.runner.Idle() {
 			in.results = append(in.results, "idle")
@@ -163,6 +175,8 @@
 			result.Starts = append(result.Starts, jaygw.StartOrder{Run: in.run(value), ValidFor: 2 * time.Second})
 		case "stop":
 			result.Stops = append(result.Stops, in.run(value))
+		case "unplaced":
+			result.Unplaced = append(result.Unplaced, in.run(value))
 		case "recorded":
 			result.Recorded = append(result.Recorded, in.run(value))
 		}
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -17,7 +17,7 @@
 		return true
 	}
 	return r.contact.listFailedSince.IsZero() && len(r.runs) == 0 && len(r.ends) == 0 && r.firstListed == 0 &&
-		!r.lastList.IsZero() && r.adopted && !r.truncated
+		!r.lastList.IsZero() && r.adopted && !r.awaitsList && !r.truncated
 }
 
 // HasListedEnds reports whether the worker has listed ends that the leader has not recorded.
@@ -26,7 +26,7 @@
 
 // Urgent reports whether the next list is needed immediately, before a run ends.
 func (r *Runner) Urgent() bool {
-	if !r.adopted {
+	if !r.adopted || r.awaitsList {
 		return true
 	}
 	for _, state := range r.runs {
@@ -120,6 +120,7 @@
 // poll that opens the session names what is on the list. It was requested without a token of that session,
 // so orders of an earlier agent process may still arrive, and the list does not count as complete.
 func (r *Runner) Confirmed(list jaygw.RunList, requestedAt, now time.Time) {
+	r.awaitsList = true
 	if list.Denied != "" {
 		return
 	}
@@ -203,6 +204,7 @@
 // Listed handles a list that was requested from the worker at requestedAt. It returns the
 // actions to perform and whether there is something to report to the leader.
 func (r *Runner) Listed(list jaygw.RunList, requestedAt, now time.Time) (actions []Action, report bool) {
+	r.unexpected = nil
 	if r.worker != nil && list.Denied != "" {
 		r.ListFailed(now)
 		if list.Denied == jaygw.DeniedIncarnation {
@@ -227,7 +229,10 @@
 		r.contact.listFailedSince = time.Time{}
 	}
 	// After a request with the token of the session, the worker denies orders of earlier processes.
-	r.knowsRuns = r.knowsRuns || r.session != 0 && !requestedAt.Before(r.sessionAt) && !list.Truncated
+	if r.session != 0 && !requestedAt.Before(r.sessionAt) {
+		r.knowsRuns = r.knowsRuns || !list.Truncated
+		r.awaitsList = false
+	}
 	if r.workerLeaseEnd.IsZero() {
 		r.workerLeaseEnd = now
 	}
@@ -248,6 +253,7 @@
 	actions = paceActions(r.pacer.Decide(r.observations(), now))
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
+		state.revived = state.revived && present[id]
 		if present[id] || !state.since.Before(requestedAt) {
 			continue
 		}
@@ -265,9 +271,16 @@
 			report = true
 		}
 	}
+	if r.held && r.holdReason() == "" {
+		r.held, report = false, true // the response orders the held starts again
+	}
 	return actions, report
 }
 
+// Unexpected returns the runs that the latest list was the first to show although they were not ordered or had
+// ended.
+func (r *Runner) Unexpected() []Unexpected { return r.unexpected }
+
 // observations returns the state of the running runs in the last list.
 func (r *Runner) observations() []pacer.Observation {
 	var observations []pacer.Observation
@@ -331,10 +344,21 @@
 func (r *Runner) addRunning(listedRun jaygw.RunningRun, now time.Time) bool {
 	state := r.runs[listedRun.Run]
 	if state == nil {
+		unexpected := Unexpected{Run: listedRun.Run, Reason: "it was not ordered by this process"}
+		if end, settled := r.settled[listedRun.Run]; settled {
+			unexpected.Reason, unexpected.Outcome, unexpected.Age = "its end is recorded", end.outcome, now.Sub(end.at)
+		}
+		r.unexpected = append(r.unexpected, unexpected)
 		delete(r.settled, listedRun.Run)
-		r.runs[listedRun.Run] = &run{phase: running, since: now, listed: true, progress: listedRun.Percent, checkpoint: listedRun.Checkpoint, resumed: true}
+		r.runs[listedRun.Run] = r.adopt(listedRun.Percent, listedRun.Checkpoint, now)
 		return true
 	}
+	if state.phase == ended && !state.revived {
+		state.revived = true
+		r.unexpected = append(r.unexpected, Unexpected{
+			Run: listedRun.Run, Reason: "its end is known", Outcome: state.end.Outcome, Age: now.Sub(state.since),
+		})
+	}
 	state.listed = true
 	state.progress, state.tailLatency, state.usedCPU = listedRun.Percent, listedRun.TailLatency, listedRun.UsedCPU
 	if listedRun.Checkpoint != "" {
@@ -346,6 +370,15 @@
 	return false
 }
 
+// adopt returns a listed run that this process has not ordered, or whose end the leader has recorded. The leader
+// may not count it until a response to a later poll shows that it does.
+func (r *Runner) adopt(progress int, checkpoint string, now time.Time) *run {
+	return &run{
+		phase: running, since: now, listed: true, progress: progress, checkpoint: checkpoint, resumed: true,
+		uncounted: true, adoptedAt: r.sequence,
+	}
+}
+
 func (r *Runner) sortedRuns() []jaygw.Run {
 	ids := make([]jaygw.Run, 0, len(r.runs))
 	for id := range r.runs {
