Simulate decisions committed late on workers that differ

What callers saw: ROUTE and LIMIT, a decision committed after the next one. The simulation of attempts applies each decision at once, to workers that are all alike, with steps that have no limit, so it can't show that. Change: TestSimulatedLimits plays the same agents, workers and faults with a log. Entries are committed in order, some late or while nothing is committed for seconds; the leader gives up after 2 s and decides again; a new leader commits those entries of the earlier term that it has and refuses the others. Workers of two services differ in size and labels and come back with another kind or id; three queues move between the services; steps have limits per VM, labels, sizes that bind, gangs and spare tasks; workflows are canceled. Each start that a worker carries out is judged. At the end nothing may be left running, placed or unrecorded. The ends of an expired lease and the listed runs are now in order instead of that of a map. The three long tests of the package run in parallel.

--- a/internal/schedule/orchestrator/attempts_test.go
+++ b/internal/schedule/orchestrator/attempts_test.go
@@ -420,6 +420,7 @@
 // runs at a time or a start of a task that is done, and against starts and runs of a canceled workflow. Polls,
 // lists and orders are lost, late and denied, lists are cut, agents and leaders change.
 func TestRandomAttempts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		e := newEstate(rt, t)
 		agent := func(t *rapid.T) *testAgent { return e.agents[uniform(t, len(e.agents), "agent")] }
--- a/internal/schedule/orchestrator/simulated_worker_test.go
+++ b/internal/schedule/orchestrator/simulated_worker_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
 func (s *simulation) bootWorker(vm *simulatedVM) {
@@ -13,14 +15,15 @@
 	vm.up, vm.bootAt, vm.rate, vm.failsAll = true, s.now, 1-0.02*s.random.Float64(), s.percent(30)
 	vm.fence, vm.leaseEnd, vm.lapses, vm.ended, vm.last = 0, 0, 0, nil, 0
 	vm.running, vm.highest = map[jaygw.Run]bool{}, map[jaygw.StepTask]uint64{}
-	s.logf("%s: boot %d, fails all %t", vm.name, vm.boot, vm.failsAll)
+	s.drawKind(vm)
+	s.logf("%s: boot %d of %s, fails all %t, %+v", vm.name, vm.boot, vm.id, vm.failsAll, vm.profile)
 	boot := vm.boot
 	var beat func()
 	beat = func() {
 		if !vm.up || vm.boot != boot {
 			return
 		}
-		reported, clock := vm.incarnation(), vm.clock(s.now)
+		reported, clock := vm.report(), vm.clock(s.now)
 		generation := vm.generation
 		s.after(s.delay(), func() { s.inAgent(vm, generation, func() { s.heartbeat(vm, reported, clock) }) })
 		s.after(s.between(100*time.Millisecond, 300*time.Millisecond), beat)
@@ -29,7 +32,13 @@
 }
 
 func (vm *simulatedVM) incarnation() jaygw.WorkerIncarnation {
-	return jaygw.WorkerIncarnation{Name: vm.name, StartTime: jaygw.Time(vm.boot)}
+	return jaygw.WorkerIncarnation{Name: vm.id, StartTime: jaygw.Time(vm.boot)}
+}
+
+func (vm *simulatedVM) report() jaygw.PoolWorker {
+	return jaygw.PoolWorker{
+		Incarnation: vm.incarnation(), Domain: "d", Service: vm.profile.Service, Size: vm.profile.Size, Labels: vm.profile.Labels,
+	}
 }
 
 func (vm *simulatedVM) clock(now time.Time) time.Duration {
@@ -43,11 +52,15 @@
 	}
 	vm.leaseEnd = 0
 	vm.lapses++
-	for run := range vm.running {
+	for _, run := range vm.sortedRuns() {
 		s.end(vm, run, jaygw.RunLeaseExpired)
 	}
 }
 
+func (vm *simulatedVM) sortedRuns() []jaygw.Run {
+	return slices.SortedFunc(maps.Keys(vm.running), registrar.CompareRuns)
+}
+
 func (s *simulation) end(vm *simulatedVM, run jaygw.Run, outcome jaygw.RunOutcome) {
 	delete(vm.running, run)
 	vm.last++
@@ -59,8 +72,8 @@
 	}
 }
 
-// startRun carries out an order to start a run.
-func (s *simulation) startRun(vm *simulatedVM, order jaygw.WorkerStart) jaygw.OrderDenial {
+// startRun carries out an order to start a run, which was meant for an incarnation of the worker.
+func (s *simulation) startRun(vm *simulatedVM, order jaygw.WorkerStart, meant jaygw.WorkerIncarnation) jaygw.OrderDenial {
 	s.expire(vm)
 	switch {
 	case order.Fence < vm.fence:
@@ -88,6 +101,7 @@
 			}
 		}
 	}
+	s.judgeLimits(vm, order.Run, meant)
 	s.logf("%s: boot %d starts run %d of %s, session %d", vm.name, vm.boot, order.Run.Number, order.Run.Task, order.Fence)
 	s.starts = append(s.starts, simulatedStart{run: order.Run, ends: len(s.ends)})
 	vm.running[order.Run] = true
@@ -95,7 +109,7 @@
 	if vm.failsAll || s.percent(30) {
 		outcome = jaygw.RunFailed
 	}
-	s.after(s.between(time.Millisecond, 400*time.Millisecond), func() {
+	s.after(s.between(time.Millisecond, s.longestRun), func() {
 		if vm.up && vm.boot == boot {
 			s.expire(vm)
 			if vm.running[order.Run] {
@@ -112,6 +126,14 @@
 	}
 }
 
+// unlessReplaced carries out an order if it names the worker, whichever its incarnation.
+func (s *simulation) unlessReplaced(vm *simulatedVM, expected jaygw.WorkerIncarnation, carryOut func() jaygw.OrderDenial) jaygw.OrderDenial {
+	if expected.Name != vm.id {
+		return jaygw.DeniedIncarnation
+	}
+	return carryOut()
+}
+
 func (s *simulation) stopRun(vm *simulatedVM, run jaygw.Run, fence uint64) jaygw.OrderDenial {
 	s.expire(vm)
 	if fence < vm.fence {
@@ -132,7 +154,11 @@
 func (s *simulation) hold(vm *simulatedVM, expected jaygw.WorkerIncarnation, extension jaygw.LeaseExtension, limit int) jaygw.RunList {
 	s.expire(vm)
 	list := jaygw.RunList{Incarnation: expected, WorkerResponse: jaygw.WorkerResponse{Clock: vm.clock(s.now)}}
-	if extension.Fence < vm.fence {
+	switch {
+	case expected.Name != vm.id:
+		list.Incarnation, list.Denied = vm.incarnation(), jaygw.DeniedIncarnation
+		return list
+	case extension.Fence < vm.fence:
 		list.Denied = jaygw.DeniedFence
 		return list
 	}
@@ -148,7 +174,7 @@
 	}
 	list.Ended = slices.Clone(vm.ended[:min(len(vm.ended), limit)])
 	list.Truncated = len(list.Ended) == limit
-	for run := range vm.running {
+	for _, run := range vm.sortedRuns() {
 		list.Running = append(list.Running, jaygw.RunningRun{Run: run})
 	}
 	if list.Incarnation = vm.incarnation(); list.Incarnation != expected {
--- a/internal/schedule/orchestrator/simulation_test.go
+++ b/internal/schedule/orchestrator/simulation_test.go
@@ -34,11 +34,16 @@
 		ends     []*simulatedEnd
 		log      []string
 		failed   string
+
+		longestRun time.Duration
+		// limits is nil if commands are committed at once and the limits of the VMs don't matter.
+		limits *simulatedLimits
 	}
 
 	// simulatedVM is a VM with an agent process and a worker.
 	simulatedVM struct {
 		name  string
+		id    string         // of the worker
 		agent *runner.Runner // nil while it is down
 		// generation counts the agent processes.
 		generation  int
@@ -52,6 +57,7 @@
 		bootAt   time.Time
 		rate     float64 // of the worker's clock
 		failsAll bool
+		profile  jaygw.WorkerProfile
 		fence    uint64
 		leaseEnd time.Duration
 		lapses   int
@@ -206,7 +212,7 @@
 			lateness = s.between(0, 4*time.Second)
 		}
 		s.after(lateness, func() {
-			if !vm.up || vm.boot != boot {
+			if !vm.up || vm.boot != boot && !s.reachesLaterBoots() {
 				answer(errNoResponse)()
 				return
 			}
@@ -246,7 +252,10 @@
 func (s *simulation) stop(vm *simulatedVM, run jaygw.Run, incarnation jaygw.WorkerIncarnation) {
 	var response jaygw.WorkerResponse
 	fence := vm.agent.Session()
-	s.call(vm, 0, func() { response.Denied, response.Clock = s.stopRun(vm, run, fence), vm.clock(s.now) }, func(err error) {
+	s.call(vm, 0, func() {
+		response.Denied = s.unlessReplaced(vm, incarnation, func() jaygw.OrderDenial { return s.stopRun(vm, run, fence) })
+		response.Clock = vm.clock(s.now)
+	}, func(err error) {
 		if s.isCurrent(vm, incarnation) {
 			vm.agent.Stopped(run, response, err, s.now)
 		}
@@ -261,7 +270,10 @@
 	}
 	order := jaygw.WorkerStart{Run: run, Deadline: decision.Deadline, Fence: vm.agent.Session()}
 	var response jaygw.WorkerResponse
-	s.call(vm, 0, func() { response.Denied, response.Clock = s.startRun(vm, order), vm.clock(s.now) }, func(err error) {
+	s.call(vm, 0, func() {
+		response.Denied = s.unlessReplaced(vm, incarnation, func() jaygw.OrderDenial { return s.startRun(vm, order, incarnation) })
+		response.Clock = vm.clock(s.now)
+	}, func(err error) {
 		if s.isCurrent(vm, incarnation) {
 			s.perform(vm, vm.agent.Started(run, response, err, s.now))
 		}
@@ -297,8 +309,8 @@
 }
 
 // heartbeat handles a report of the worker as the poller does.
-func (s *simulation) heartbeat(vm *simulatedVM, reported jaygw.WorkerIncarnation, clock time.Duration) {
-	current := vm.agent.Worker()
+func (s *simulation) heartbeat(vm *simulatedVM, worker jaygw.PoolWorker, clock time.Duration) {
+	current, reported := vm.agent.Worker(), worker.Incarnation
 	if current == nil || current.Incarnation != reported {
 		if !vm.up {
 			return
@@ -307,7 +319,11 @@
 		if current != nil && list.Denied != "" || list.Incarnation != reported {
 			return
 		}
-		if runs := vm.agent.Restarted(reported); len(runs) > 0 {
+		runs := vm.agent.Restarted(reported)
+		if s.limits != nil {
+			runs = append(runs, vm.agent.Unordered(reported, list.Running, runs)...)
+		}
+		if len(runs) > 0 {
 			for _, run := range runs {
 				if denied := s.stopRun(vm, run, vm.agent.Session()); denied != "" {
 					return
@@ -320,9 +336,7 @@
 			}
 		}
 	}
-	vm.agent.Report(jaygw.PoolWorker{
-		Incarnation: reported, Service: "s", Domain: "d", Size: jaygw.Resources{CPU: 8 * jaygw.Core, Memory: 8 * jaygw.GB},
-	}, clock, s.now)
+	vm.agent.Report(worker, clock, s.now)
 }
 
 // poll sends a poll, which the leader handles when it arrives.
@@ -336,40 +350,101 @@
 		if s.now.Before(s.noLeader) || s.percent(3) {
 			return
 		}
-		response, ok := s.handle(request)
-		if !ok || s.now.Before(vm.cutUntil) || s.percent(3) {
-			return
-		}
-		s.after(s.delay(), func() {
-			s.inAgent(vm, generation, func() { s.perform(vm, vm.agent.HandleResponse(response, s.now)) })
+		s.handle(request, func(response jaygw.PollResponse) {
+			if s.now.Before(vm.cutUntil) || s.percent(3) {
+				return
+			}
+			s.after(s.delay(), func() {
+				s.inAgent(vm, generation, func() { s.perform(vm, vm.agent.HandleResponse(response, s.now)) })
+			})
 		})
 	})
 }
 
-// handle lets the leader handle a poll, and reports whether it responds.
-func (s *simulation) handle(request jaygw.PollRequest) (jaygw.PollResponse, bool) {
+// handle lets the leader handle a poll, and calls a function with the response, if there is one.
+func (s *simulation) handle(request jaygw.PollRequest, respond func(jaygw.PollResponse)) {
+	arrived, term := s.now, s.term
 	command, err := s.table.sessionCommand(request, s.state)
+	switch {
+	case err != nil:
+		return
+	case command == nil:
+		s.commitEnds(request, arrived, respond)
+		return
+	case s.table.opening[request.VM]:
+		return
+	}
+	commands := []jaygw.Command{*command}
+	if ends := endsBeforeSession(request); ends != nil {
+		commands = []jaygw.Command{*ends, *command}
+	}
+	s.table.opening[request.VM] = true
+	s.proposeAll(commands, term, func(err error) {
+		delete(s.table.opening, request.VM)
+		if err == nil {
+			s.commitEnds(request, arrived, respond)
+		}
+	})
+}
+
+func (s *simulation) commitEnds(request jaygw.PollRequest, arrived time.Time, respond func(jaygw.PollResponse)) {
+	command, err := s.table.recordPoll(request, s.state, s.now)
 	if err != nil {
-		return jaygw.PollResponse{}, false
+		return
 	}
+	var commands []jaygw.Command
 	if command != nil {
-		s.apply(endsBeforeSession(request))
-		s.apply(command)
+		commands = append(commands, *command)
 	}
-	command, err = s.table.recordPoll(request, s.state, s.now)
-	if err != nil {
-		return jaygw.PollResponse{}, false
+	s.proposeAll(commands, s.term, func(err error) {
+		if err != nil || s.unconfirmed() {
+			return
+		}
+		if response, err := s.table.buildResponse(request, s.state, arrived, s.now); err == nil {
+			respond(response)
+		}
+	})
+}
+
+// proposeAll commits commands in a term, one after the other, until one fails.
+func (s *simulation) proposeAll(commands []jaygw.Command, term uint64, then func(error)) {
+	if len(commands) == 0 {
+		then(nil)
+		return
 	}
-	s.apply(command)
-	response, err := s.table.buildResponse(request, s.state, s.now, s.now)
-	return response, err == nil
+	s.propose(commands[0], term, func(err error) {
+		if err != nil {
+			then(err)
+			return
+		}
+		s.proposeAll(commands[1:], term, then)
+	})
 }
 
 func (s *simulation) decideRepeatedly() {
-	if !s.now.Before(s.noLeader) {
-		s.decide()
+	again := func() { s.after(s.between(5*time.Millisecond, 100*time.Millisecond), s.decideRepeatedly) }
+	if s.now.Before(s.noLeader) {
+		again()
+		return
 	}
-	s.after(s.between(5*time.Millisecond, 100*time.Millisecond), s.decideRepeatedly)
+	s.proposeDecision(s.table.decide(s.state, s.out, s.now, jaygw.TimeOf(s.now)), s.term, again)
+}
+
+// proposeDecision commits the commands of a decision in order, also after one that has failed.
+func (s *simulation) proposeDecision(commands []jaygw.Command, term uint64, then func()) {
+	if len(commands) == 0 {
+		then()
+		return
+	}
+	s.propose(commands[0], term, func(err error) {
+		s.table.recordOutcome(commands[0], err)
+		next := func() { s.proposeDecision(commands[1:], term, then) }
+		if err == nil {
+			next()
+			return
+		}
+		s.after(proposeRetryDelay, next)
+	})
 }
 
 func (s *simulation) changeLeader() {
@@ -377,8 +452,10 @@
 	s.term++
 	term := s.term
 	s.table.setLeadership(term, false, s.now)
+	s.loseEntries()
 	s.after(s.noLeader.Sub(s.now), func() {
 		if term == s.term {
+			s.commitSurvivors()
 			s.table.setLeadership(term, true, s.now)
 		}
 	})
@@ -402,7 +479,11 @@
 		return
 	}
 	vm := s.vms[s.random.IntN(len(s.vms))]
-	switch s.random.IntN(8) {
+	faults := 8
+	if s.limits != nil {
+		faults = 8 + limitFaults
+	}
+	switch fault := s.random.IntN(faults); fault {
 	case 0:
 		s.stopAgent(vm)
 	case 1:
@@ -423,15 +504,21 @@
 				s.restartWorker(vm)
 			}
 		}
+	default:
+		s.limitFault(fault - 8)
 	}
 	s.after(s.between(50*time.Millisecond, 1500*time.Millisecond), s.fault)
 }
 
 func (s *simulation) submitRepeatedly(number int) {
 	id := fmt.Sprint("w", number)
-	first, second := step(3), step(2)
-	second.After, second.Gang = []int{0}, number%2 == 1
-	s.submit(id, first, second)
+	if s.limits != nil {
+		s.submitLimited(id)
+	} else {
+		first, second := step(3), step(2)
+		second.After, second.Gang = []int{0}, number%2 == 1
+		s.submit(id, first, second)
+	}
 	s.attempts[id] = 1 + s.random.IntN(3)
 	s.state.Workflow(id).Queue.MaxAttempts = s.attempts[id]
 	if s.now.Sub(time.Unix(1000, 0)) < simulatedFaults {
@@ -504,9 +591,24 @@
 
 // simulate plays one seed and returns the promise that was broken, if any, with the log.
 func simulate(tb testing.TB, seed uint64) (broken string, log []string) {
-	s := &simulation{harness: newHarness(tb), random: rand.New(rand.NewPCG(seed, 0)), term: 1, attempts: map[string]int{}}
-	for _, name := range []string{"a", "b", "c"} {
-		vm := &simulatedVM{name: name}
+	s := newSimulation(tb, seed)
+	return s.play(), s.log
+}
+
+func newSimulation(tb testing.TB, seed uint64) *simulation {
+	return &simulation{
+		harness: newHarness(tb), random: rand.New(rand.NewPCG(seed, 0)), term: 1, attempts: map[string]int{}, longestRun: 400 * time.Millisecond,
+	}
+}
+
+// play plays the simulation and returns the promise that was broken, if any.
+func (s *simulation) play() string {
+	names := []string{"a", "b", "c"}
+	if s.limits != nil {
+		names = append(names, "d", "e")
+	}
+	for _, name := range names {
+		vm := &simulatedVM{name: name, id: name}
 		s.vms = append(s.vms, vm)
 		s.bootWorker(vm)
 		s.startAgent(vm)
@@ -520,9 +622,9 @@
 		next.do()
 	}
 	if s.failed != "" {
-		return s.failed, s.log
+		return s.failed
 	}
-	return s.judge(), s.log
+	return s.judge()
 }
 
 func environmentInt(name string, fallback int) int {
@@ -536,6 +638,7 @@
 // considers recorded, and ends that are forgotten without being recorded. Processes and workers are killed,
 // frozen, cut off and mute, and messages are lost, late and out of order.
 func TestSimulatedAttempts(t *testing.T) {
+	t.Parallel()
 	first, seeds := environmentInt("JAYGW_SEED", 1), environmentInt("JAYGW_CHECKS", 200)
 	for seed := first; seed < first+seeds; seed++ {
 		broken, log := simulate(t, uint64(seed))
--- a/internal/schedule/orchestrator/vmtable_test.go
+++ b/internal/schedule/orchestrator/vmtable_test.go
@@ -65,6 +65,12 @@
 	if command == nil {
 		return
 	}
+	h.commit(command)
+	h.table.recordOutcome(*command, nil)
+}
+
+// commit applies a command to the state.
+func (h *harness) commit(command *jaygw.Command) (result jaygw.Result) {
 	h.index++
 	now := jaygw.TimeOf(h.now)
 	switch {
@@ -73,13 +79,17 @@
 	case command.EndRuns != nil:
 		h.state.EndRuns(*command.EndRuns, now)
 	case command.StartRuns != nil:
-		h.state.StartRuns(*command.StartRuns, now)
+		result = h.state.StartRuns(*command.StartRuns, now)
 	case command.StopRuns != nil:
 		h.state.StopRuns(*command.StopRuns)
 	case command.LearnEffects != nil:
 		h.state.LearnEffects(*command.LearnEffects)
+	case command.Catalog != nil:
+		result = h.state.PutCatalog(*command.Catalog)
+	case command.CancelWorkflow != nil:
+		result = h.state.Cancel(*command.CancelWorkflow, now)
 	}
-	h.table.recordOutcome(*command, nil)
+	return result
 }
 
 func (h *harness) decide() {
