Give back starts that were granted for an earlier profile of the worker

Cause: an agent that accepts another size, service or labels of an incarnation, because the report that contradicts the earlier ones is repeated, tells the leader with its next poll, which may be a second away. Until then the session is that of the earlier profile, and the agent carries out the starts granted for it. Class: a start is tied to a session only by its number, which the agent learns with a response. Change: the leader is polled at once, and starts from responses to polls that were sent before the change, and those not sent to the worker yet, are given back as not started. Open: a grant of the earlier session that reaches the agent first with a response to a later poll is carried out.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -20,6 +20,7 @@
 		longestLease   time.Duration
 		worker         *jaygw.PoolWorker
 		contradiction  *jaygw.PoolWorker // the last report, if it contradicts the earlier ones
+		profileSince   time.Time         // when the incarnation began to report its profile; zero for its first one
 		session        uint64
 		sessionAt      time.Time // when the first response of the session arrived
 		sequence       uint64
@@ -144,6 +145,9 @@
 	// sentRetention is how long a poll without a response is remembered.
 	sentRetention = time.Minute
 
+	// reasonProfile is why a start that was granted for an earlier profile of the worker is not sent.
+	reasonProfile = "the worker has reported another size, service or labels since"
+
 	// reasonDraining is why a draining worker gets no start.
 	reasonDraining = "the worker drains"
 
@@ -181,7 +185,7 @@
 		for _, state := range r.runs {
 			state.revived = false
 		}
-		r.pacer = pacer.New()
+		r.pacer, r.profileSince = pacer.New(), time.Time{}
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
@@ -193,6 +197,9 @@
 	// A worker drains until its incarnation ends; an older report may arrive late.
 	w.Draining = w.Draining || r.worker.Draining
 	changed := r.worker.Draining != w.Draining
+	if !r.worker.Profile().Equal(w.Profile()) {
+		changed, r.profileSince = true, now
+	}
 	r.worker = &w
 	return changed
 }
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -19,7 +19,7 @@
 // with "->" lists what the command before it must have returned, or "-> none". A run is
 // written as index/number, where index is that of the task in its step.
 //
-//	report INCARNATION [draining]   the worker reports its state
+//	report INCARNATION [draining|cores=N]   the worker reports its state
 //	poll                            a poll is sent to the leader
 //	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN] [unplaced=RUN]
 //	admit RUN                       a start is about to be sent
@@ -83,8 +83,16 @@
 	switch fields[1] {
 	case "report":
 		in.incarnation = jaygw.WorkerIncarnation{Name: args[0]}
-		draining := len(args) > 1
-		if in.runner.Report(jaygw.PoolWorker{Incarnation: in.incarnation, Draining: draining}, elapsed, now) {
+		worker := jaygw.PoolWorker{Incarnation: in.incarnation}
+		if len(args) > 1 {
+			worker.Draining = args[1] == "draining"
+			if cores, ok := strings.CutPrefix(args[1], "cores="); ok {
+				n, err := strconv.Atoi(cores)
+				require.NoError(in.t, err)
+				worker.Size.CPU = jaygw.MilliCores(n) * jaygw.Core
+			}
+		}
+		if in.runner.Report(worker, elapsed, now) {
 			in.results = append(in.results, "notify")
 		}
 	case "poll":
--- a/internal/agent/runner/starts.go
+++ b/internal/agent/runner/starts.go
@@ -24,10 +24,16 @@
 	if !now.Before(startBy) {
 		return drop("the permit was over on arrival") // the next response carries a new one
 	}
-	if r.worker.Draining {
+	giveUp := func(reason string) *Action {
 		r.runs[id] = state
-		r.giveUp(id, state, reasonDraining, now)
-		return drop(reasonDraining)
+		r.giveUp(id, state, reason, now)
+		return drop(reason)
+	}
+	switch {
+	case r.worker.Draining:
+		return giveUp(reasonDraining)
+	case sent.Before(r.profileSince):
+		return giveUp(reasonProfile)
 	}
 	if reason := r.holdReason(); reason != "" {
 		r.held = true
@@ -89,6 +95,8 @@
 		return "the lease of the worker may outlast that of the agent"
 	case r.worker.Draining:
 		return reasonDraining
+	case state.since.Before(r.profileSince):
+		return reasonProfile
 	case !now.Before(startBy):
 		return "the permit is over"
 	case !now.Before(r.leaseEnd):
