Hold no start on a worker that no earlier order can reach

Cause: starts are held until that list on each new worker, also on one whose name differs from that of the one before: it denies orders to the earlier one. Change: the list is demanded only if the worker has the name of the earlier incarnation, or is the first of the agent process. Evidence: start-before-first-list.script, in which the start on the other worker was held before.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -44,6 +44,7 @@
 		lastList        time.Time                // time of the last list, initially of the worker's first report
 		adopted         bool                     // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
 		knowsRuns       bool                     // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
+		mayHaveOrders   bool                     // whether orders to an earlier incarnation or of an earlier agent process may reach the worker
 		awaitsList      bool                     // whether the worker was confirmed without a list to a session; orders that it does not know of may reach it
 		truncated       bool                     // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time                // time until which the worker may continue without the agent
@@ -178,6 +179,7 @@
 func (r *Runner) Report(w jaygw.PoolWorker, clock time.Duration, now time.Time) bool {
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
 		r.earlierDeadline, r.longLeaseEnd = time.Time{}, time.Time{}
+		r.mayHaveOrders = r.worker == nil || r.worker.Incarnation.Name == w.Incarnation.Name
 		if r.worker != nil && r.worker.Incarnation.Name == w.Incarnation.Name {
 			r.earlierDeadline = r.lastDeadline
 		}
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -19,7 +19,7 @@
 // with "->" lists what the command before it must have returned, or "-> none". A run is
 // written as index/number, where index is that of the task in its step.
 //
-//	report INCARNATION [draining|cores=N]   the worker reports its state
+//	report INCARNATION [draining|cores=N|born=N]   the worker reports its state
 //	poll                            a poll is sent to the leader
 //	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN] [unplaced=RUN]
 //	admit RUN                       a start is about to be sent
@@ -86,10 +86,14 @@
 		worker := jaygw.PoolWorker{Incarnation: in.incarnation}
 		if len(args) > 1 {
 			worker.Draining = args[1] == "draining"
-			if cores, ok := strings.CutPrefix(args[1], "cores="); ok {
-				n, err := strconv.Atoi(cores)
-				require.NoError(in.t, err)
+			key, value, _ := strings.Cut(args[1], "=")
+			n, _ := strconv.Atoi(value)
+			switch key {
+			case "cores":
 				worker.Size.CPU = jaygw.MilliCores(n) * jaygw.Core
+			case "born":
+				in.incarnation.StartTime = jaygw.Time(n)
+				worker.Incarnation = in.incarnation
 			}
 		}
 		if in.runner.Report(worker, elapsed, now) {
--- a/internal/agent/runner/starts.go
+++ b/internal/agent/runner/starts.go
@@ -10,36 +10,35 @@
 // start adds a run and returns the action that starts it, or nil if the run must not start.
 func (r *Runner) start(order jaygw.StartOrder, sent, now time.Time) *Action {
 	id, startBy := order.Run, sent.Add(order.ValidFor)
-	drop := func(reason string) *Action {
-		r.drops = append(r.drops, Drop{Order: order, StartBy: startBy, Reason: reason})
-		return nil
-	}
-	if _, settled := r.settled[id]; settled {
-		return drop("its end is recorded")
-	}
-	if r.runs[id] != nil {
-		return drop("it is known")
+	_, settled := r.settled[id]
+	var reason string
+	givenBack := false
+	switch {
+	case settled:
+		reason = "its end is recorded"
+	case r.runs[id] != nil:
+		reason = "it is known"
+	case !now.Before(startBy):
+		reason = "the permit was over on arrival" // the next response carries a new one
+	case r.worker.Draining:
+		reason, givenBack = reasonDraining, true
+	case sent.Before(r.profileSince):
+		reason, givenBack = reasonProfile, true
+	default:
+		reason = r.holdReason()
+		r.held = r.held || reason != ""
 	}
 	state := &run{phase: starting, since: now, traits: &order.Traits, checkpoint: order.Checkpoint, resumed: order.Checkpoint != "", inherited: !r.adopted}
-	if !now.Before(startBy) {
-		return drop("the permit was over on arrival") // the next response carries a new one
-	}
-	giveUp := func(reason string) *Action {
+	if reason == "" || givenBack {
 		r.runs[id] = state
-		r.giveUp(id, state, reason, now)
-		return drop(reason)
 	}
-	switch {
-	case r.worker.Draining:
-		return giveUp(reasonDraining)
-	case sent.Before(r.profileSince):
-		return giveUp(reasonProfile)
+	if givenBack {
+		r.giveUp(id, state, reason, now)
 	}
-	if reason := r.holdReason(); reason != "" {
-		r.held = true
-		return drop(reason)
+	if reason != "" {
+		r.drops = append(r.drops, Drop{Order: order, StartBy: startBy, Reason: reason})
+		return nil
 	}
-	r.runs[id] = state
 	return &Action{Start: &order, StartBy: startBy}
 }
 
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -120,7 +120,7 @@
 // poll that opens the session names what is on the list. It was requested without a token of that session,
 // so orders of an earlier agent process may still arrive, and the list does not count as complete.
 func (r *Runner) Confirmed(list jaygw.RunList, requestedAt, now time.Time) {
-	r.awaitsList = true
+	r.awaitsList = r.mayHaveOrders
 	if list.Denied != "" {
 		return
 	}
