--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -20,6 +20,7 @@
 		longestLease   time.Duration
 		worker         *jaygw.PoolWorker
 		contradiction  *jaygw.PoolWorker // the last report, if it contradicts the earlier ones
+		profileSince   time.Time         // when the incarnation began to report its profile; zero for its first one
 		session        uint64
 		sessionAt      time.Time // when the first response of the session arrived
 		sequence       uint64
@@ -43,6 +44,7 @@
 		lastList        time.Time                // time of the last list, initially of the worker's first report
 		adopted         bool                     // whether the worker has listed all its runs and ends, maybe some of an earlier agent process
 		knowsRuns       bool                     // whether the worker, maybe an earlier incarnation, has listed all its runs to a session
+		mayHaveOrders   bool                     // whether orders to an earlier incarnation or of an earlier agent process may reach the worker
 		awaitsList      bool                     // whether the worker was confirmed without a list to a session; orders that it does not know of may reach it
 		truncated       bool                     // whether the worker may have more ends than in its last list
 		workerLeaseEnd  time.Time                // time until which the worker may continue without the agent
@@ -145,6 +147,9 @@
 	// sentRetention is how long a poll without a response is remembered.
 	sentRetention = time.Minute
 
+	// reasonProfile is why a start that was granted for an earlier profile of the worker is not sent.
+	reasonProfile = "the worker has reported another size, service or labels since"
+
 	// reasonDraining is why a draining worker gets no start.
 	reasonDraining = "the worker drains"
 
@@ -175,6 +180,7 @@
 func (r *Runner) Report(w jaygw.PoolWorker, clock time.Duration, now time.Time) bool {
 	if r.worker == nil || r.worker.Incarnation != w.Incarnation {
 		r.earlierDeadline, r.longLeaseEnd = time.Time{}, time.Time{}
+		r.mayHaveOrders = r.worker == nil || r.worker.Incarnation.Name == w.Incarnation.Name
 		if r.worker != nil && r.worker.Incarnation.Name == w.Incarnation.Name {
 			r.earlierDeadline = r.lastDeadline
 		}
@@ -182,7 +188,7 @@
 		for _, state := range r.runs {
 			state.revived = false
 		}
-		r.pacer = pacer.New()
+		r.pacer, r.profileSince = pacer.New(), time.Time{}
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
@@ -195,6 +201,9 @@
 	// A worker drains until its incarnation ends; an older report may arrive late.
 	w.Draining = w.Draining || r.worker.Draining
 	changed := r.worker.Draining != w.Draining
+	if !r.worker.Profile().Equal(w.Profile()) {
+		changed, r.profileSince = true, now
+	}
 	r.worker = &w
 	return changed
 }
--- a/internal/agent/runner/script_test.go
+++ b/internal/agent/runner/script_test.go
@@ -19,7 +19,7 @@
 // with "->" lists what the command before it must have returned, or "-> none". A run is
 // written as index/number, where index is that of the task in its step.
 //
-//	report INCARNATION [draining] [clock=READING]   the worker reports its state
+//	report INCARNATION [draining] [clock=READING] [cores=N] [born=N]   the worker reports its state
 //	poll                            a poll is sent to the leader
 //	response SEQUENCE SESSION [start=RUN] [stop=RUN] [recorded=RUN] [unplaced=RUN]
 //	admit RUN                       a start is about to be sent
@@ -83,16 +83,29 @@
 	switch fields[1] {
 	case "report":
 		in.incarnation = jaygw.WorkerIncarnation{Name: args[0]}
-		draining, clock := false, elapsed
+		worker, clock := jaygw.PoolWorker{Incarnation: in.incarnation}, elapsed
 		for _, arg := range args[1:] {
-			if reading, ok := strings.CutPrefix(arg, "clock="); ok {
-				clock, err = time.ParseDuration(reading)
+			key, value, _ := strings.Cut(arg, "=")
+			switch key {
+			case "draining":
+				worker.Draining = true
+			case "clock":
+				clock, err = time.ParseDuration(value)
 				require.NoError(in.t, err, line)
-			} else {
-				draining = true
+			case "cores", "born":
+				n, err := strconv.Atoi(value)
+				require.NoError(in.t, err, line)
+				if key == "cores" {
+					worker.Size.CPU = jaygw.MilliCores(n) * jaygw.Core
+				} else {
+					in.incarnation.StartTime = jaygw.Time(n)
+					worker.Incarnation = in.incarnation
+				}
+			default:
+				in.t.Fatalf("%s: unknown argument", line)
 			}
 		}
-		if in.runner.Report(jaygw.PoolWorker{Incarnation: in.incarnation, Draining: draining}, clock, now) {
+		if in.runner.Report(worker, clock, now) {
 			in.results = append(in.results, "notify")
 		}
 	case "poll":
