Play random commands with limits of VMs in the model

Change: the model of TestRandomCommands knows sizes, labels, services, limits per VM, gangs and spare tasks. Workers change their profiles and incarnations, the queue moves, runs are stopped, grants name earlier sessions. A grant is now compared with the model in both directions: also one that is refused without a reason fails. No check was removed. TestLimitPerVMAfterEnd shows that ended runs leave the limit of their step.

--- a/internal/control/registrar/limits_test.go
+++ b/internal/control/registrar/limits_test.go
@@ -101,3 +101,30 @@
 	r.EndRuns(jaygw.EndRuns{VM: "plain", Ended: []jaygw.EndedRun{ended}}, 1)
 	require.Empty(t, grant(1, 6))
 }
+
+// TestLimitPerVMAfterEnd guards against ended runs that still count towards the limit of their step.
+func TestLimitPerVMAfterEnd(t *testing.T) {
+	r := newLimitedState()
+	for id, step := range map[string]jaygw.Step{"w": {Tasks: 5, MaxPerVM: 2}, "other": {Tasks: 1}} {
+		r.Submit(jaygw.SubmitWorkflow{Spec: jaygw.WorkflowSpec{ID: id, Steps: []jaygw.Step{step}}, Host: "h", Path: "/q/" + id}, 1)
+	}
+	run := func(id string, task int) jaygw.Run {
+		return jaygw.Run{Task: jaygw.StepTask{Workflow: id, Index: task}, Number: 1}
+	}
+	grant := func(id string, task int) string {
+		return r.StartRuns(jaygw.StartRuns{Grants: []jaygw.RunGrant{{Run: run(id, task), VM: "plain", Session: 5}}}, 1).Results[0].Detail
+	}
+	end := func(task int) {
+		r.EndRuns(jaygw.EndRuns{VM: "plain", Ended: []jaygw.EndedRun{{Run: run("w", task), Outcome: jaygw.RunDone}}}, 1)
+	}
+	require.Empty(t, grant("other", 0))
+	require.Empty(t, grant("w", 0))
+	require.Empty(t, grant("w", 1))
+	require.Contains(t, grant("w", 2), "allows 2")
+	end(0)
+	require.Empty(t, grant("w", 2))
+	end(1)
+	end(2)
+	require.Empty(t, grant("w", 3))
+	require.Empty(t, grant("w", 4))
+}
--- a/internal/control/registrar/machine_test.go
+++ b/internal/control/registrar/machine_test.go
@@ -1,8 +1,11 @@
 package registrar_test
 
 import (
+	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/jaygw/jaygw"
@@ -13,20 +16,40 @@
 	"pgregory.net/rapid"
 )
 
-const checksPerRun = 300
+const (
+	checksPerRun  = 300
+	stepsPerCheck = "100" // average; the limits of a VM matter only once it runs several tasks
+)
+
+var workflowIDs = []string{"a", "b", "c", "d", "e", "f"}
 
 func TestMain(m *testing.M) {
 	seeder.FixSeed(checksPerRun)
+	if err := flag.Set("rapid.steps", stepsPerCheck); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
-// oracle is a model of the registrar in plain maps, for comparison.
-type oracle struct {
-	placed     map[jaygw.Run]string // VM by placed run
-	done       map[jaygw.StepTask]bool
-	lastNumber map[jaygw.StepTask]uint64 // number of the latest run
-	ended      map[string]bool           // workflows that have ended
-}
+type (
+	// oracle is a model of the registrar in plain maps, for comparison.
+	oracle struct {
+		accepted   map[string]bool
+		placed     map[jaygw.Run]string // VM by placed run
+		done       map[jaygw.StepTask]bool
+		lastNumber map[jaygw.StepTask]uint64 // number of the latest run
+		ended      map[string]bool           // workflows that have ended
+		sessions   map[string]modelSession   // by VM
+		service    string                    // to which the catalog in force sends the queue
+	}
+
+	modelSession struct {
+		number  uint64
+		process uint64
+		life    jaygw.WorkerIncarnation
+		profile *jaygw.WorkerProfile
+	}
+)
 
 // catalog returns a catalog with one queue that allows two attempts of each task.
 func catalog(number uint64) jaygw.Catalog {
@@ -42,19 +65,159 @@
 	return jaygw.WorkflowSpec{ID: id, Steps: []jaygw.Step{{Tasks: 2}, {Tasks: 1, After: []int{0}}}}
 }
 
+// size returns an amount of cores and gigabytes.
+func size(cores, gigabytes int) jaygw.Resources {
+	return jaygw.Resources{CPU: jaygw.MilliCores(cores) * jaygw.Core, Memory: jaygw.Bytes(gigabytes) * jaygw.GB}
+}
+
+// limitedSpec returns a workflow like that of spec with steps that limit where they run: "a" and "d" have a limit per VM,
+// "d" also a label, "b" and "e" a gang, "c" and "f" spare tasks.
+func limitedSpec(id string) jaygw.WorkflowSpec {
+	s := spec(id)
+	switch first, second := &s.Steps[0], &s.Steps[1]; id {
+	case "a":
+		first.Size, first.MaxPerVM = size(1, 1), 1
+		second.Size = size(4, 1)
+	case "d":
+		first.Size, first.MaxPerVM, first.Label = size(1, 1), 1, "ssd"
+		second.Size = size(4, 1)
+	case "b", "e":
+		first.Size, first.Gang = size(3, 2), true
+		second.Size, second.Label = size(1, 1), "ssd"
+	case "c", "f":
+		first.Size, first.Spare = size(9, 3), true
+		second.Size = size(2, 2)
+	}
+	return s
+}
+
+func isGang(id jaygw.StepTask) bool { return limitedSpec(id.Workflow).Steps[id.Step].Gang }
+
+func isSameStep(a, b jaygw.StepTask) bool { return a.Workflow == b.Workflow && a.Step == b.Step }
+
+// refuses reports whether a grant breaks a rule, beside those that are granted before it as members of its gang.
+func (o *oracle) refuses(g jaygw.RunGrant, before []jaygw.RunGrant) bool {
+	id, session := g.Run.Task, o.sessions[g.VM]
+	step := limitedSpec(id.Workflow).Steps[id.Step]
+	taken, sameStep := step.Reserved(), 1
+	count := func(vm string, other jaygw.StepTask) {
+		if vm != g.VM {
+			return
+		}
+		taken = taken.Add(limitedSpec(other.Workflow).Steps[other.Step].Reserved())
+		if isSameStep(other, id) {
+			sameStep++
+		}
+	}
+	for run, vm := range o.placed {
+		if run.Task == id {
+			return true
+		}
+		count(vm, run.Task)
+	}
+	for _, b := range before {
+		count(b.VM, b.Run.Task)
+	}
+	first := jaygw.StepTask{Workflow: id.Workflow}
+	second := jaygw.StepTask{Workflow: id.Workflow, Index: 1}
+	switch {
+	case !o.accepted[id.Workflow], o.ended[id.Workflow], o.done[id], g.Run.Number <= o.lastNumber[id]:
+		return true
+	case id.Step == 1 && (!o.done[first] || !o.done[second]):
+		return true
+	case session.number == 0, session.number != g.Session:
+		return true
+	case step.MaxPerVM > 0 && sameStep > step.MaxPerVM:
+		return true
+	case session.profile == nil:
+		return false
+	}
+	p := session.profile
+	return p.Service != o.service || step.Label != "" && !slices.Contains(p.Labels, step.Label) || taken.CPU > p.Size.CPU || taken.Memory > p.Size.Memory
+}
+
+// drawRun draws a run, which is mostly one that is placed.
+func (o *oracle) drawRun(t *rapid.T, task *rapid.Generator[jaygw.StepTask]) jaygw.Run {
+	if placed := slices.SortedFunc(maps.Keys(o.placed), registrar.CompareRuns); len(placed) > 0 && rapid.IntRange(0, 2).Draw(t, "placed") > 0 {
+		return rapid.SampledFrom(placed).Draw(t, "run")
+	}
+	return jaygw.Run{Task: task.Draw(t, "task"), Number: rapid.Uint64Range(1, 6).Draw(t, "number")}
+}
+
+// drawGrants draws grants of which two in a row may be those of the gang.
+func (o *oracle) drawGrants(t *rapid.T, task *rapid.Generator[jaygw.StepTask], vm *rapid.Generator[string]) []jaygw.RunGrant {
+	var grants []jaygw.RunGrant
+	add := func(id jaygw.StepTask) {
+		name := vm.Draw(t, "vm")
+		session := o.sessions[name].number
+		if rapid.IntRange(0, 9).Draw(t, "earlier session") == 9 {
+			session--
+		}
+		number := o.lastNumber[id] + rapid.SampledFrom([]uint64{1, 1, 1, 0, 2}).Draw(t, "number")
+		grants = append(grants, jaygw.RunGrant{Run: jaygw.Run{Task: id, Number: number}, VM: name, Session: session})
+	}
+	for range rapid.IntRange(1, 3).Draw(t, "grants") {
+		id := task.Draw(t, "task")
+		isMember := isGang(id)
+		if isMember && slices.ContainsFunc(grants, func(g jaygw.RunGrant) bool { return isSameStep(g.Run.Task, id) }) {
+			continue
+		}
+		add(id)
+		if isMember && rapid.Bool().Draw(t, "both members") {
+			id.Index = 1 - id.Index
+			add(id)
+		}
+	}
+	return grants
+}
+
+// start grants runs and compares the results with what the rules allow. The members of a gang are granted together
+// or not at all.
+func (o *oracle) start(t *rapid.T, r *registrar.Registrar, grants []jaygw.RunGrant, now jaygw.Time) {
+	results := r.StartRuns(jaygw.StartRuns{Grants: grants}, now).Results
+	for first := 0; first < len(grants); {
+		next := first + 1
+		id := grants[first].Run.Task
+		if isGang(id) && next < len(grants) && isSameStep(grants[next].Run.Task, id) {
+			next++
+		}
+		refused := false
+		for i := first; i < next; i++ {
+			refused = refused || o.refuses(grants[i], grants[first:i])
+		}
+		for i := first; i < next; i++ {
+			require.Equal(t, refused, results[i].Code != "", "grant %d, %+v: %q", i, grants[i], results[i].Detail)
+			if !refused {
+				o.placed[grants[i].Run], o.lastNumber[grants[i].Run.Task] = grants[i].VM, grants[i].Run.Number
+			}
+		}
+		first = next
+	}
+}
+
 // TestRandomCommands guards against a task that has two runs at a time, starts before the steps
-// that it follows are done, or starts again once it is done, and against a workflow that is
-// completed too early. Snapshots are taken and restored at random between the commands.
+// that it follows are done, or starts again once it is done, against a workflow that is completed
+// too early, and against grants that break a limit of their VM or only part of a gang. Workers change their
+// profiles, and the queue its service. Snapshots are taken and restored at random between the commands.
 func TestRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now, index := jaygw.Time(1), jaygw.Index(0)
 		r := registrar.New(func(string) bool { return false })
 		require.Nil(t, r.PutCatalog(jaygw.PutCatalog{Catalog: catalog(1)}).Refusal)
+		number := uint64(1)
 		o := &oracle{
-			placed: map[jaygw.Run]string{}, done: map[jaygw.StepTask]bool{},
-			lastNumber: map[jaygw.StepTask]uint64{}, ended: map[string]bool{},
+			accepted: map[string]bool{}, placed: map[jaygw.Run]string{}, done: map[jaygw.StepTask]bool{},
+			lastNumber: map[jaygw.StepTask]uint64{}, ended: map[string]bool{}, sessions: map[string]modelSession{}, service: "s",
 		}
-		workflow := rapid.SampledFrom([]string{"a", "b", "c"})
+		profile := rapid.SampledFrom([]*jaygw.WorkerProfile{
+			nil,
+			{Service: "s", Size: size(8, 8), Labels: []string{"r1", "ssd"}},
+			{Service: "s", Size: size(4, 4)},
+			{Service: "s", Size: size(8, 3)},
+			{Service: "s", Size: size(8, 8)},
+			{Service: "t", Size: size(8, 8), Labels: []string{"ssd"}},
+		})
+		workflow := rapid.SampledFrom(workflowIDs)
 		vm := rapid.SampledFrom([]string{"vm-1", "vm-2"})
 		task := rapid.Custom(func(t *rapid.T) jaygw.StepTask {
 			step := rapid.IntRange(0, 1).Draw(t, "step")
@@ -63,9 +226,28 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
 				id := workflow.Draw(t, "id")
-				require.Nil(t, r.Submit(jaygw.SubmitWorkflow{Spec: spec(id), Host: "h", Path: "/q/" + id}, now).Refusal)
+				require.Nil(t, r.Submit(jaygw.SubmitWorkflow{Spec: limitedSpec(id), Host: "h", Path: "/q/" + id}, now).Refusal)
+				o.accepted[id] = true
+			},
+			"catalog": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "moves") > 0 {
+					return
+				}
+				number++
+				o.service = rapid.SampledFrom([]string{"s", "s", "t"}).Draw(t, "service")
+				next := catalog(number)
+				next.Queues[0].Service = o.service
+				next.Services = append(next.Services, jaygw.PoolSpec{Name: "t"})
+				require.Nil(t, r.PutCatalog(jaygw.PutCatalog{Catalog: next}).Refusal)
+			},
+			"stop": func(t *rapid.T) {
+				run := o.drawRun(t, task)
+				r.StopRuns(jaygw.StopRuns{Stops: []jaygw.StoppedRun{{Run: run, VM: o.placed[run]}}})
 			},
 			"cancel": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "cancels") < 8 {
+					return
+				}
 				id := workflow.Draw(t, "id")
 				exists := r.Workflow(id) != nil
 				result := r.Cancel(jaygw.CancelWorkflow{Host: "h", Path: "/q/" + id}, now)
@@ -76,12 +258,21 @@
 				index++
 				name := vm.Draw(t, "vm")
 				incarnation := jaygw.WorkerIncarnation{Name: name, StartTime: jaygw.Time(rapid.IntRange(1, 3).Draw(t, "start time"))}
-				before := r.Session(name)
+				before, had := o.sessions[name]
 				unknown := rapid.Bool().Draw(t, "runs unknown")
-				r.OpenSession(jaygw.OpenSession{
-					VM: name, Process: rapid.Uint64Range(1, 2).Draw(t, "process"), Incarnation: incarnation, RunsUnknown: unknown,
+				next := modelSession{
+					number: uint64(index), process: rapid.Uint64Range(1, 2).Draw(t, "process"), life: incarnation, profile: profile.Draw(t, "profile"),
+				}
+				result := r.OpenSession(jaygw.OpenSession{
+					VM: name, Process: next.process, Incarnation: incarnation, RunsUnknown: unknown, Profile: next.profile,
 				}, index, now)
-				if before == nil || before.Life == incarnation || unknown {
+				isSame := had && before.process == next.process && before.life == incarnation && before.profile == next.profile
+				require.Equal(t, isSame, result.AlreadyApplied)
+				if isSame {
+					return
+				}
+				o.sessions[name] = next
+				if !had || before.life == incarnation || unknown {
 					return
 				}
 				for run, placedOn := range o.placed {
@@ -90,32 +281,10 @@
 					}
 				}
 			},
-			"start": func(t *rapid.T) {
-				id, name := task.Draw(t, "task"), vm.Draw(t, "vm")
-				session := r.Session(name)
-				if session == nil {
-					return
-				}
-				run := jaygw.Run{Task: id, Number: rapid.Uint64Range(1, 6).Draw(t, "number")}
-				result := r.StartRuns(jaygw.StartRuns{Grants: []jaygw.RunGrant{{Run: run, VM: name, Session: session.Number}}}, now)
-				if result.Results[0].Code != "" {
-					return
-				}
-				require.False(t, o.ended[id.Workflow], "a run of a workflow that has ended was granted")
-				require.False(t, o.done[id], "a task that is done was started again")
-				require.Greater(t, run.Number, o.lastNumber[id], "the run number is not higher than the previous one")
-				for other := range o.placed {
-					require.NotEqual(t, id, other.Task, "a task has two runs")
-				}
-				if id.Step == 1 {
-					for i := range 2 {
-						require.True(t, o.done[jaygw.StepTask{Workflow: id.Workflow, Index: i}], "an earlier step is not done")
-					}
-				}
-				o.placed[run], o.lastNumber[id] = name, run.Number
-			},
+			"start":  func(t *rapid.T) { o.start(t, r, o.drawGrants(t, task, vm), now) },
+			"start2": func(t *rapid.T) { o.start(t, r, o.drawGrants(t, task, vm), now) },
 			"end": func(t *rapid.T) {
-				run := jaygw.Run{Task: task.Draw(t, "task"), Number: rapid.Uint64Range(1, 6).Draw(t, "number")}
+				run := o.drawRun(t, task)
 				outcome := rapid.SampledFrom([]jaygw.RunOutcome{jaygw.RunDone, jaygw.RunFailed, jaygw.RunLeaseExpired, jaygw.RunNotStarted}).Draw(t, "outcome")
 				name := o.placed[run]
 				if name == "" {
@@ -125,9 +294,16 @@
 				delete(o.placed, run)
 				if outcome == jaygw.RunDone && o.lastNumber[run.Task] == run.Number && !o.ended[run.Task.Workflow] {
 					o.done[run.Task] = true
+					if other := run.Task; isGang(other) {
+						other.Index = 1 - other.Index
+						o.done[other] = true
+					}
 				}
 			},
 			"snapshot": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "restores") < 5 {
+					return // a restored state has a new index of the placed runs
+				}
 				data, err := encoder.Marshal(r.Snapshot())
 				require.NoError(t, err)
 				state := &registrar.State{}
@@ -148,7 +324,7 @@
 		r.ForEachPlacement(vm, func(p *registrar.Placement) { actual[p.Run] = p.VM })
 	}
 	require.Equal(t, fmt.Sprint(o.placed), fmt.Sprint(actual), "the runs that hold resources")
-	for _, id := range []string{"a", "b", "c"} {
+	for _, id := range workflowIDs {
 		w := r.Workflow(id)
 		if w == nil {
 			continue
