Let the simulated agent report the first list of a worker

The agent reports what a new incarnation lists before it accepts the report of that incarnation. Without it the simulation of attempts plays what it played.

--- a/internal/schedule/orchestrator/simulation_test.go
+++ b/internal/schedule/orchestrator/simulation_test.go
@@ -311,11 +311,12 @@
 // heartbeat handles a report of the worker as the poller does.
 func (s *simulation) heartbeat(vm *simulatedVM, worker jaygw.PoolWorker, clock time.Duration) {
 	current, reported := vm.agent.Worker(), worker.Incarnation
+	var list jaygw.RunList
 	if current == nil || current.Incarnation != reported {
 		if !vm.up {
 			return
 		}
-		list := s.hold(vm, reported, jaygw.LeaseExtension{Fence: vm.agent.Session()}, simulatedLongLimit)
+		list = s.hold(vm, reported, jaygw.LeaseExtension{Fence: vm.agent.Session()}, simulatedLongLimit)
 		if current != nil && list.Denied != "" || list.Incarnation != reported {
 			return
 		}
@@ -329,7 +330,7 @@
 					return
 				}
 			}
-			list := s.hold(vm, reported, jaygw.LeaseExtension{Fence: vm.agent.Session()}, simulatedLongLimit)
+			list = s.hold(vm, reported, jaygw.LeaseExtension{Fence: vm.agent.Session()}, simulatedLongLimit)
 			vm.agent.EndUnlisted(list.Ended, s.now)
 			if slices.ContainsFunc(list.Running, func(r jaygw.RunningRun) bool { return slices.Contains(runs, r.Run) }) {
 				return
@@ -337,6 +338,9 @@
 		}
 	}
 	vm.agent.Report(worker, clock, s.now)
+	if s.limits != nil && (current == nil || current.Incarnation != reported) {
+		vm.agent.Confirmed(list, s.now, s.now)
+	}
 }
 
 // poll sends a poll, which the leader handles when it arrives.
