Leave the room that a run takes which the state no longer counts

What callers saw: LIMIT, a start that brings a worker over its capacity. The leader has it stopped, and in the meantime grants its room to others, because it counts placed runs only. Class: room is free in the state while a worker has reported that it is taken. Change: the runs that a VM reports without an end and that are not placed there count in the decision, until a later poll no longer has them. Why it works: the report of such a run comes with the first poll after the agent has listed it, and a decision from then on leaves its room. A run whose end is in the same poll does not count, so that room is free as soon as before.

--- a/internal/schedule/orchestrator/restart_test.go
+++ b/internal/schedule/orchestrator/restart_test.go
@@ -44,3 +44,25 @@
 		})
 	}
 }
+
+// TestRunThatIsNoLongerPlacedTakesRoom guards against starts beyond the size of a VM whose worker reports a run that the
+// state no longer counts, as after a late order to a worker that has started again.
+func TestRunThatIsNoLongerPlacedTakesRoom(t *testing.T) {
+	h := newHarness(t, "a")
+	whole := step(1)
+	whole.Size.CPU = 8 * jaygw.Core
+	h.submit("w", whole)
+	h.decide()
+	run := jaygw.Run{Task: jaygw.StepTask{Workflow: "w"}, Number: 1}
+	require.Equal(t, []jaygw.Run{run}, h.placed("a"))
+	ended := []jaygw.EndedRun{{Run: run, Outcome: jaygw.RunNotStarted}}
+	h.apply(&jaygw.Command{EndRuns: &jaygw.EndRuns{VM: "a", Ended: ended}})
+	h.reported["a"] = []jaygw.ReportedRun{{Run: run}}
+	h.submit("next", whole)
+	require.Equal(t, []jaygw.Run{run}, h.poll("a").Stops)
+	h.decide()
+	require.Empty(t, h.placed("a"))
+	h.poll("a", func(request *jaygw.PollRequest) { request.Ended = ended })
+	h.decide()
+	require.Len(t, h.placed("a"), 1)
+}
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -49,6 +49,7 @@
 		leaseEnd  time.Time                       // time after which its lease has certainly expired
 		unhealthy string                          // why the worker is unhealthy; empty if it is healthy
 		reported  map[jaygw.Run]jaygw.ReportedRun // runs in the latest poll
+		present   []jaygw.Run                     // those of them that have not ended
 		spareLoad []estimator.ImageLoad           // load by spare runs among the reported runs
 		stalled   map[jaygw.Run]time.Time         // start of the stall, by stalled spare run
 		expiring  bool                            // the end of the lease is proposed and not known to be committed
@@ -127,7 +128,7 @@
 			reported[k.Run] = k
 		}
 		t.siblings.replace(request.VM, vm.reported, reported)
-		vm.reported = reported
+		vm.reported, vm.present = reported, presentRuns(request)
 		vm.spareLoad = spareLoad(vm, state)
 	}
 	vm.lastPoll = now
@@ -144,6 +145,21 @@
 	return &jaygw.Command{EndRuns: &jaygw.EndRuns{VM: request.VM, Ended: request.Ended}}, nil
 }
 
+// presentRuns returns the runs that a poll reports without an end.
+func presentRuns(request jaygw.PollRequest) []jaygw.Run {
+	ended := make(map[jaygw.Run]bool, len(request.Ended))
+	for _, e := range request.Ended {
+		ended[e.Run] = true
+	}
+	var present []jaygw.Run
+	for _, k := range request.Runs {
+		if !ended[k.Run] {
+			present = append(present, k.Run)
+		}
+	}
+	return present
+}
+
 // buildResponse builds the response from a state that a quorum has confirmed since the poll
 // arrived.
 func (t *vmTable) buildResponse(request jaygw.PollRequest, state *registrar.Registrar, arrived, now time.Time) (jaygw.PollResponse, error) {
@@ -305,6 +321,12 @@
 				candidate.Runs = append(candidate.Runs, run)
 			}
 		})
+		// The worker may run what the state no longer counts. It takes room until its end is reported.
+		for _, run := range vm.present {
+			if step := stepSpec(state, run); step != nil && state.FindPlacement(name, run) == nil {
+				candidate.Runs = append(candidate.Runs, jaygw.PlacedRun{Run: run, VM: name, Step: step, WorkflowEnded: true})
+			}
+		}
 		vms = append(vms, candidate)
 	}
 	slices.SortFunc(vms, func(a, b allocator.VM) int {
