--- a/internal/schedule/orchestrator/simulated_limits_test.go
+++ b/internal/schedule/orchestrator/simulated_limits_test.go
@@ -129,6 +129,14 @@
 
 func (s *simulation) commitEntry(entry *simulatedEntry) {
 	result := s.commit(&entry.command)
+	if ends := entry.command.EndRuns; ends != nil {
+		for i, end := range ends.Ended {
+			s.logf("index %d: end of run %d of %s on %s, %s (%s): %s", s.index, end.Run.Number, end.Run.Task, ends.VM, end.Outcome, end.Reason, result.Results[i].Detail)
+		}
+	}
+	if open := entry.command.OpenSession; open != nil {
+		s.logf("index %d: session of process %d on %s, %+v, runs unknown %t", s.index, open.Process, open.VM, open.Incarnation, open.RunsUnknown)
+	}
 	if entry.command.StartRuns == nil {
 		return
 	}
@@ -273,6 +281,7 @@
 	s.limits.starts++
 	if meant != vm.incarnation() {
 		s.limits.misdirected++
+		s.logf("%s: run %d of %s was meant for boot %d", vm.name, run.Number, run.Task, meant.StartTime)
 		return
 	}
 	w := s.limits.specs[run.Task.Workflow]
--- a/internal/schedule/orchestrator/simulated_worker_test.go
+++ b/internal/schedule/orchestrator/simulated_worker_test.go
@@ -163,6 +163,9 @@
 		return list
 	}
 	vm.fence = extension.Fence
+	if expected != vm.incarnation() {
+		s.logf("%s: a request for a list, up to %s at %s, was meant for boot %d", vm.name, extension.Deadline, vm.clock(s.now), expected.StartTime)
+	}
 	vm.extend(s.now, extension.Deadline)
 	for _, end := range s.ends {
 		if end.vm == vm && end.boot == vm.boot && end.number <= extension.LastRecordedEnd && !end.noted {
--- a/internal/schedule/orchestrator/vmtable_test.go
+++ b/internal/schedule/orchestrator/vmtable_test.go
@@ -77,7 +77,7 @@
 	case command.OpenSession != nil:
 		h.state.OpenSession(*command.OpenSession, h.index, now)
 	case command.EndRuns != nil:
-		h.state.EndRuns(*command.EndRuns, now)
+		result = h.state.EndRuns(*command.EndRuns, now)
 	case command.StartRuns != nil:
 		result = h.state.StartRuns(*command.StartRuns, now)
 	case command.StopRuns != nil:
