--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -87,8 +87,9 @@
 }
 
 // sessionCommand returns the command that opens a session for a new agent process or a new
-// incarnation of its worker, or records a changed profile or failure domain of the worker, or nil if the session is current. A late poll of an earlier process or
-// incarnation is refused: its session would end the runs of the later one while they run.
+// incarnation of its worker, or that records a changed profile or failure domain of the worker. It returns
+// nil if the session is current. A late poll of an earlier process or incarnation is refused: its session
+// would end the runs of the later one while they run.
 func (t *vmTable) sessionCommand(request jaygw.PollRequest, state *registrar.Registrar) (*jaygw.Command, error) {
 	if !t.leads {
 		return nil, jaygw.ErrNotLeader
