Log the version, index, replica, attempts and time of queries that waited

Cause: an answered query has no log line, so that a record cannot tell a stale read from a query that waited and was overtaken by a later one.

Change: the result of a query carries the number of the catalog, the index of the state and the replica that read it; the client adds its attempts. The relay logs the first query that is answered from a newer catalog, and each one that took more than one attempt or 250 ms.

--- a/internal/control/client/workflows.go
+++ b/internal/control/client/workflows.go
@@ -31,11 +31,12 @@
 // Query reads workflows from a confirmed state. It retries with other members until the
 // context ends.
 func (c *Client) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
-	for {
+	for attempts := 1; ; attempts++ {
 		var result jaygw.WorkflowQueryResult
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		err := c.call(attempt, messenger.DRPCGroupClient.Query, query, &result)
 		cancel()
+		result.Attempts = attempts
 		if err == nil || !c.sleep(ctx, retryInterval) {
 			return result, err
 		}
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -109,17 +109,15 @@
 	if query.Catalog {
 		return jaygw.WorkflowQueryResult{Number: catalog.Number, Source: catalog.Source}
 	}
-	queue, rest := catalog.FindQueue(query.Host, query.Path)
-	if queue == nil {
-		return jaygw.WorkflowQueryResult{NoQueue: true}
-	}
-	if rest == "" {
-		return jaygw.WorkflowQueryResult{Queue: true, Waiting: r.CountQueued(queue.Host, queue.Prefix)}
-	}
-	if w := r.findWorkflow(query.Host, query.Path); w != nil {
-		return jaygw.WorkflowQueryResult{State: w.State}
-	}
-	return jaygw.WorkflowQueryResult{}
+	result := jaygw.WorkflowQueryResult{Number: catalog.Number}
+	if queue, rest := catalog.FindQueue(query.Host, query.Path); queue == nil {
+		result.NoQueue = true
+	} else if rest == "" {
+		result.Queue, result.Waiting = true, r.CountQueued(queue.Host, queue.Prefix)
+	} else if w := r.findWorkflow(query.Host, query.Path); w != nil {
+		result.State = w.State
+	}
+	return result
 }
 
 // OpenSession records a new agent process or a new incarnation of a worker. It ends the runs
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -31,8 +31,9 @@
 		log          logrus.FieldLogger
 		registry     metrics.Registry
 		watchdog     *watchdog.Watchdog
-		lastResponse atomic.Int64 // Unix time of the group's last response, in nanoseconds
-		reached      atomic.Bool  // the last request got a response from the group
+		lastResponse atomic.Int64  // Unix time of the group's last response, in nanoseconds
+		reached      atomic.Bool   // the last request got a response from the group
+		lastNumber   atomic.Uint64 // highest number of a catalog that a query was answered from
 	}
 
 	// Option configures a Relay that New creates.
@@ -45,6 +46,9 @@
 	pingInterval = time.Second
 	pingTimeout  = 900 * time.Millisecond
 
+	// slowQuery is the time from which on an answered query is logged.
+	slowQuery = 250 * time.Millisecond
+
 	// waitLimit is how long a request waits for a leader: an election takes 0.5 to 1.4 s.
 	// shortWaitLimit applies if the last request did not reach the group: another entry may
 	// reach it, so the caller should get an error soon and retry there.
@@ -159,17 +163,56 @@
 func (r *Relay) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
 	startTime := time.Now()
 	response, err := r.group.Query(ctx, query)
+	took := time.Since(startTime)
+	fields := logrus.Fields{
+		"request": "query", "path": query.Path, "took": took.String(), "number": response.Number, "index": response.Index,
+		"replica": response.Replica, "attempts": response.Attempts,
+	}
 	if err != nil {
 		r.count("query", "undecided", startTime)
-		r.log.WithFields(logrus.Fields{"request": "query", "path": query.Path, "took": time.Since(startTime).String()}).
-			WithError(err).Warn("clerk: no confirmed response to a query")
+		r.log.WithFields(fields).WithError(err).Warn("clerk: no confirmed response to a query")
 	} else {
 		r.count("query", "answered", startTime)
+		if r.sawNewNumber(response.Number) || took >= slowQuery || response.Attempts > 1 {
+			r.log.WithFields(fields).WithField("status", queryStatus(response)).Info("clerk: query answered")
+		}
 	}
 	r.recordContact(ctx, err, startTime)
 	return response, err
 }
 
+// sawNewNumber records that a query was answered from the catalog with a number, and reports whether none
+// was answered from that one or a newer one before.
+func (r *Relay) sawNewNumber(number uint64) bool {
+	for {
+		last := r.lastNumber.Load()
+		if number <= last {
+			return false
+		}
+		if r.lastNumber.CompareAndSwap(last, number) {
+			return true
+		}
+	}
+}
+
+// queryStatus describes the response to a query in the log.
+func queryStatus(response jaygw.WorkflowQueryResult) string {
+	switch {
+	case response.NoCatalog:
+		return "no catalog"
+	case response.NoQueue:
+		return "no queue"
+	case response.Queue:
+		return "queue"
+	case response.Source != nil:
+		return "catalog"
+	case response.Order != 0:
+		return "domain"
+	default:
+		return string(response.State)
+	}
+}
+
 // recordContact records whether the control group has responded, and logs when it is lost or
 // reached again. It ignores the outcome of a request that the caller has canceled, because
 // that does not depend on the group.
--- a/internal/schedule/orchestrator/poll.go
+++ b/internal/schedule/orchestrator/poll.go
@@ -100,6 +100,8 @@
 		} else if domain := machine.State().Domains[query.Domain]; domain != nil {
 			answer.Order = domain.Order
 		}
+		answer.Index = machine.State().Index
 	})
+	answer.Replica = o.replica.Status().ID
 	return answer, nil
 }
--- a/poll.go
+++ b/poll.go
@@ -221,12 +221,18 @@
 		Waiting int `cbor:"4,keyasint,omitempty"`
 		// State is the state of the workflow; empty if the workflow is not known.
 		State WorkflowState `cbor:"5,keyasint,omitempty"`
-		// Number is the number of the catalog in force.
+		// Number is the number of the catalog in force in the state that was read; zero if Domain was asked for.
 		Number uint64 `cbor:"6,keyasint,omitempty"`
 		// Source is the catalog in force as the operator sent it.
 		Source []byte `cbor:"7,keyasint,omitempty"`
 		// Order identifies the latest order on the failure domain; zero for none.
 		Order uint64 `cbor:"8,keyasint,omitempty"`
+		// Index is the position in the log of the state that was read.
+		Index Index `cbor:"9,keyasint,omitempty"`
+		// Replica is the id of the replica that read it.
+		Replica uint64 `cbor:"10,keyasint,omitempty"`
+		// Attempts is the number of calls that the query took.
+		Attempts int `cbor:"-"`
 	}
 )
 
