Answer the calls of a process in the order of catalogs in which they arrived

What callers see: a probe of a route that configuration 6 adds is answered 200 by an entry, although a probe that was sent 0.25 s later to the same entry had been answered from configuration 3: the process goes back to an older configuration.

Cause: a call takes the configuration of its end. The first probe waited 0.8 s at a leader that was cut off, the second one went to another member. Each read was confirmed and right when it was given, but nothing compared two answers of one process.

Change: the state keeps for each queue the catalog that changed it last; a query's and a submission's result name it and the catalog in force. An entry or control process numbers its calls by arrival. It repeats a query that was answered from an older catalog than it knows, and refuses a call with 503 if a later call was, or may be, answered from a catalog before the one that changed the call's own queue. A submission carries the newest catalog by which it may be handled and is refused by the state machine before it is accepted; it is sent again if no later call was answered from an older catalog. A call to a queue that has not changed is never refused.

Why it works: each answer names a range of catalogs that allow it, and a later arrival is never answered from below the range of an earlier one.

--- a/command.go
+++ b/command.go
@@ -59,6 +59,9 @@
 		Host string       `cbor:"2,keyasint"`
 		// Path is the queue's prefix followed by the workflow's id.
 		Path string `cbor:"3,keyasint"`
+		// CatalogLimit is the number of the newest catalog by which the submission may be handled. It is refused
+		// as stale if a newer one has changed the queue at the path. Nil sets no limit.
+		CatalogLimit *uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// CancelWorkflow cancels the workflow that the host and the path lead to.
@@ -346,6 +349,12 @@
 		// AlreadyApplied is set if the command had no effect because the state was already as
 		// requested.
 		AlreadyApplied bool `cbor:"5,keyasint,omitempty"`
+		// Catalog is the number of the catalog in force at the command, if it submits a workflow or puts a catalog
+		// in force.
+		Catalog uint64 `cbor:"6,keyasint,omitempty"`
+		// ChangedAt is the number of the catalog since which the path of a submission leads to the queue to which
+		// it leads now, or to none; zero if no change is known.
+		ChangedAt uint64 `cbor:"7,keyasint,omitempty"`
 	}
 
 	// ItemResult is the result of one item of a batched command.
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -18,12 +18,13 @@
 		return jaygw.Refuse(jaygw.RefusedInvalid, "%s", findings.Error())
 	}
 	if r.state.Catalog != nil && put.Catalog.Number <= r.state.Catalog.Number {
-		return jaygw.Result{AlreadyApplied: true}
+		return jaygw.Result{AlreadyApplied: true, Catalog: r.state.Catalog.Number}
 	}
 	catalog := put.Catalog
+	r.recordChanges(&catalog)
 	r.state.Catalog = &catalog
 	r.onChange("")
-	return jaygw.Result{}
+	return jaygw.Result{Catalog: catalog.Number}
 }
 
 // Submit accepts a workflow into the queue at the command's host and path. A resend of a retained
@@ -34,6 +35,19 @@
 	if r.state.Catalog == nil {
 		return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet")
 	}
+	changed := r.changedAt(submit.Host, submit.Path)
+	var result jaygw.Result
+	if submit.CatalogLimit != nil && changed > *submit.CatalogLimit {
+		result = jaygw.Refuse(jaygw.RefusedStale, "catalog %d has changed the queue at %s%s, the submission allows catalog %d",
+			changed, submit.Host, submit.Path, *submit.CatalogLimit)
+	} else {
+		result = r.accept(submit, now)
+	}
+	result.Catalog, result.ChangedAt = r.state.Catalog.Number, changed
+	return result
+}
+
+func (r *Registrar) accept(submit jaygw.SubmitWorkflow, now jaygw.Time) jaygw.Result {
 	queue, id := r.state.Catalog.FindQueue(submit.Host, submit.Path)
 	if queue == nil {
 		return jaygw.Refuse(jaygw.RefusedUnknown, "no queue takes %s%s", submit.Host, submit.Path)
@@ -107,9 +121,9 @@
 		return jaygw.WorkflowQueryResult{NoCatalog: true}
 	}
 	if query.Catalog {
-		return jaygw.WorkflowQueryResult{Number: catalog.Number, Source: catalog.Source}
+		return jaygw.WorkflowQueryResult{Number: catalog.Number, ChangedAt: catalog.Number, Source: catalog.Source}
 	}
-	result := jaygw.WorkflowQueryResult{Number: catalog.Number}
+	result := jaygw.WorkflowQueryResult{Number: catalog.Number, ChangedAt: r.changedAt(query.Host, query.Path)}
 	if queue, rest := catalog.FindQueue(query.Host, query.Path); queue == nil {
 		result.NoQueue = true
 	} else if rest == "" {
--- a/internal/control/registrar/limits_test.go
+++ b/internal/control/registrar/limits_test.go
@@ -28,7 +28,7 @@
 }
 
 // restored returns a registrar with the state of another one.
-func restored(t *testing.T, r *registrar.Registrar) *registrar.Registrar {
+func restored(t require.TestingT, r *registrar.Registrar) *registrar.Registrar {
 	data, err := encoder.Marshal(r.Snapshot())
 	require.NoError(t, err)
 	state := &registrar.State{}
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -19,6 +19,7 @@
 		runsByVM  map[string]*vmRuns // placed runs by VM
 		effects   map[jaygw.ImagePair]jaygw.EffectEstimate
 		canceled  map[canceledKey]bool        // cancels of workflows that were unknown, as in state.Canceled
+		changes   map[string]uint64           // numbers of the latest changes of queues, by changeKey
 		active    []*Workflow                 // workflows that have not ended, in the order of acceptance
 		onChange  func(vm string)             // called after a change, see Notify
 		onEnd     func(*Workflow, jaygw.Time) // called with each workflow that has ended
@@ -36,6 +37,8 @@
 		Effects   []jaygw.EffectEstimate // set only in a snapshot, sorted; a Registrar indexes them by pair
 		// Canceled holds the cancels of workflows that were unknown, in their order.
 		Canceled []UnknownCancel `cbor:",omitempty"`
+		// QueueChanges is set only in a snapshot, sorted; a Registrar indexes them by queue.
+		QueueChanges []QueueChange `cbor:",omitempty"`
 	}
 
 	// UnknownCancel is the cancel of a workflow that was unknown. Its submission may arrive later.
@@ -123,6 +126,8 @@
 		Tasks     int // tasks of one workflow, over all occurrences
 		Sessions  int // sessions, one per VM
 		Effects   int // estimates, one per pair of images
+		// RemovedQueues bounds the queues that are no longer declared of which the latest change is known.
+		RemovedQueues int
 	}
 )
 
@@ -136,7 +141,7 @@
 
 // DefaultLimits returns limits with a margin of two over the target size.
 func DefaultLimits() Limits {
-	return Limits{Workflows: 50_000, Canceled: 20_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000}
+	return Limits{Workflows: 50_000, Canceled: 20_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000, RemovedQueues: 5_000}
 }
 
 // New returns a registrar without workflows. The function domainOut reports whether a failure
@@ -148,6 +153,7 @@
 		runsByVM:  map[string]*vmRuns{},
 		effects:   map[jaygw.ImagePair]jaygw.EffectEstimate{},
 		canceled:  map[canceledKey]bool{},
+		changes:   map[string]uint64{},
 		onChange:  func(string) {},
 		onEnd:     func(*Workflow, jaygw.Time) {},
 		domainOut: domainOut,
@@ -244,6 +250,7 @@
 		Catalog: r.state.Catalog, Sessions: maps.Clone(r.state.Sessions),
 		Finished: slices.Clone(r.state.Finished), Order: r.state.Order,
 		Workflows: make(map[string]*Workflow, len(r.state.Workflows)), Effects: r.Effects(), Canceled: slices.Clone(r.state.Canceled),
+		QueueChanges: r.queueChanges(),
 	}
 	for id, w := range r.state.Workflows {
 		s.Workflows[id] = w.clone()
@@ -263,6 +270,7 @@
 	r.runsByVM = map[string]*vmRuns{}
 	r.effects = map[jaygw.ImagePair]jaygw.EffectEstimate{}
 	r.canceled = map[canceledKey]bool{}
+	r.changes = map[string]uint64{}
 	r.active = nil
 	if state == nil {
 		return
@@ -272,6 +280,9 @@
 	for _, c := range state.Canceled {
 		r.canceled[c.key()] = true
 	}
+	for _, c := range state.QueueChanges {
+		r.changes[c.Queue] = c.Number
+	}
 	if state.Workflows != nil {
 		r.state.Workflows = state.Workflows
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/observe/watchdog"
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -31,9 +32,9 @@
 		log          logrus.FieldLogger
 		registry     metrics.Registry
 		watchdog     *watchdog.Watchdog
-		lastResponse atomic.Int64  // Unix time of the group's last response, in nanoseconds
-		reached      atomic.Bool   // the last request got a response from the group
-		lastNumber   atomic.Uint64 // highest number of a catalog that a query was answered from
+		lastResponse atomic.Int64 // Unix time of the group's last response, in nanoseconds
+		reached      atomic.Bool  // the last request got a response from the group
+		order        *answerOrder
 	}
 
 	// Option configures a Relay that New creates.
@@ -64,7 +65,7 @@
 
 // New returns a relay to a control group. Its metrics are held in a registry.
 func New(group Group, log logrus.FieldLogger, registry metrics.Registry, options ...Option) *Relay {
-	r := &Relay{group: group, log: log, registry: registry, watchdog: watchdog.New(watchdog.WithLogger(log))}
+	r := &Relay{group: group, log: log, registry: registry, watchdog: watchdog.New(watchdog.WithLogger(log)), order: newAnswerOrder()}
 	for _, option := range options {
 		option(r)
 	}
@@ -77,12 +78,40 @@
 	metrics.GetOrRegisterTimer("clerk."+request+".time", r.registry).UpdateSince(startTime)
 }
 
-// Submit submits a workflow.
+// Submit submits a workflow. It returns ErrOutdated, and the workflow is not accepted, if a catalog has changed the
+// queue at its path and a call that arrived later was answered from an older catalog.
 func (r *Relay) Submit(ctx context.Context, submit jaygw.SubmitWorkflow) (jaygw.Result, error) {
-	return r.decide(ctx, "submit", submit.Spec.ID, jaygw.Command{SubmitWorkflow: &submit})
+	call := r.order.arrive(true)
+	defer r.order.leave(call)
+	for {
+		limit := r.order.limitOf(call)
+		submit.CatalogLimit = &limit
+		result, err := r.decide(ctx, "submit", submit.Spec.ID, jaygw.Command{SubmitWorkflow: &submit})
+		if err != nil {
+			return result, err
+		}
+		if stale := result.Refusal != nil && result.Refusal.Code == jaygw.RefusedStale; !stale {
+			r.order.settle(call, result.Catalog)
+			return result, nil
+		}
+		r.order.learn(result.Catalog)
+		if r.order.limitOf(call) < result.ChangedAt {
+			return jaygw.Result{}, r.refuseOvertaken("submit", submit.Path, result.Catalog, result.ChangedAt, call)
+		}
+	}
 }
 
-// Cancel cancels a workflow.
+// refuseOvertaken counts and logs a call that was overtaken, and returns its error.
+func (r *Relay) refuseOvertaken(request, path string, number, changedAt uint64, call *orderedCall) error {
+	metrics.GetOrRegisterCounter("clerk."+request+".overtaken", r.registry).Inc(1)
+	limit := r.order.limitOf(call)
+	r.log.WithFields(logrus.Fields{
+		"request": request, "path": path, "number": number, "changed-at": changedAt, "limit": limit, "age": time.Since(call.arrived).String(),
+	}).Warn("clerk: call overtaken by a later one")
+	return eris.Wrapf(jaygw.ErrOutdated, "a later call was answered from catalog %d, and catalog %d has changed the queue", limit, changedAt)
+}
+
+// Cancel cancels a workflow. Its result does not depend on the catalog.
 func (r *Relay) Cancel(ctx context.Context, cancel jaygw.CancelWorkflow) (jaygw.Result, error) {
 	return r.decide(ctx, "cancel", cancel.Path, jaygw.Command{CancelWorkflow: &cancel})
 }
@@ -94,7 +123,9 @@
 		r.log.WithFields(logrus.Fields{"number": catalog.Number, "findings": len(findings)}).Info("clerk: catalog refused")
 		return jaygw.Refuse(jaygw.RefusedInvalid, "%s", findings.Error()), nil
 	}
-	return r.decide(ctx, "catalog", catalog.Number, jaygw.Command{Catalog: &jaygw.PutCatalog{Catalog: catalog}})
+	result, err := r.decide(ctx, "catalog", catalog.Number, jaygw.Command{Catalog: &jaygw.PutCatalog{Catalog: catalog}})
+	r.order.learn(result.Catalog)
+	return result, err
 }
 
 // SetDomain takes a failure domain out or returns it. The order takes effect only if its sender still waited
@@ -159,8 +190,33 @@
 	return result, err
 }
 
-// Query reads from a confirmed state.
+// Query reads from a confirmed state. It returns ErrOutdated if a catalog has changed what it asks for and a call that
+// arrived later was answered from an older catalog.
 func (r *Relay) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
+	if query.Domain != "" {
+		return r.queryOnce(ctx, query)
+	}
+	call := r.order.arrive(false)
+	defer r.order.leave(call)
+	for {
+		result, err := r.queryOnce(ctx, query)
+		if err != nil {
+			return result, err
+		}
+		switch r.order.admit(call, result.Number, result.ChangedAt) {
+		case admitted:
+			return result, nil
+		case overtaken:
+			return jaygw.WorkflowQueryResult{}, r.refuseOvertaken("query", query.Path, result.Number, result.ChangedAt, call)
+		}
+		r.log.WithFields(logrus.Fields{
+			"request": "query", "path": query.Path, "number": result.Number, "index": result.Index, "replica": result.Replica,
+			"age": time.Since(call.arrived).String(),
+		}).Info("clerk: query repeated, a newer catalog is known")
+	}
+}
+
+func (r *Relay) queryOnce(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
 	startTime := time.Now()
 	response, err := r.group.Query(ctx, query)
 	took := time.Since(startTime)
@@ -173,7 +229,7 @@
 		r.log.WithFields(fields).WithError(err).Warn("clerk: no confirmed response to a query")
 	} else {
 		r.count("query", "answered", startTime)
-		if r.sawNewNumber(response.Number) || took >= slowQuery || response.Attempts > 1 {
+		if r.order.learn(response.Number) || took >= slowQuery || response.Attempts > 1 {
 			r.log.WithFields(fields).WithField("status", queryStatus(response)).Info("clerk: query answered")
 		}
 	}
@@ -181,20 +237,6 @@
 	return response, err
 }
 
-// sawNewNumber records that a query was answered from the catalog with a number, and reports whether none
-// was answered from that one or a newer one before.
-func (r *Relay) sawNewNumber(number uint64) bool {
-	for {
-		last := r.lastNumber.Load()
-		if number <= last {
-			return false
-		}
-		if r.lastNumber.CompareAndSwap(last, number) {
-			return true
-		}
-	}
-}
-
 // queryStatus describes the response to a query in the log.
 func queryStatus(response jaygw.WorkflowQueryResult) string {
 	switch {
--- a/poll.go
+++ b/poll.go
@@ -231,6 +231,9 @@
 		Index Index `cbor:"9,keyasint,omitempty"`
 		// Replica is the id of the replica that read it.
 		Replica uint64 `cbor:"10,keyasint,omitempty"`
+		// ChangedAt is the number of the catalog since which the path leads to the queue to which it leads in
+		// that state, or to none; zero if no change is known. It is that of the catalog if Catalog was asked for.
+		ChangedAt uint64 `cbor:"11,keyasint,omitempty"`
 		// Attempts is the number of calls that the query took.
 		Attempts int `cbor:"-"`
 	}
