Refuse no call of a process that does not know a catalog yet

What callers see: 503 for a query of a queue that has not changed, from a process that has just started, if a submission arrived after it.

Cause: the limit of an earlier call counted such a submission as one that may be handled by any catalog, although a submission of a process without a catalog is refused by the state machine first.

Change: a command limits earlier calls by the newest catalog at its proposal, and not at all while none is known; a submission with the limit zero is refused as stale, also where no change of its queue is known, and is proposed again with what the refusal has named.

--- a/command.go
+++ b/command.go
@@ -60,7 +60,8 @@
 		// Path is the queue's prefix followed by the workflow's id.
 		Path string `cbor:"3,keyasint"`
 		// CatalogLimit is the number of the newest catalog by which the submission may be handled. It is refused
-		// as stale if a newer one has changed the queue at the path. Nil sets no limit.
+		// as stale if a newer one has changed the queue at the path, or if the limit is zero, since its sender
+		// knows no catalog yet. Nil sets no limit.
 		CatalogLimit *uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
--- a/internal/control/registrar/requests.go
+++ b/internal/control/registrar/requests.go
@@ -33,9 +33,9 @@
 	}
 	changed := r.changedAt(submit.Host, submit.Path)
 	var result jaygw.Result
-	if submit.CatalogLimit != nil && changed > *submit.CatalogLimit {
+	if limit := submit.CatalogLimit; limit != nil && (*limit == 0 || changed > *limit) {
 		result = jaygw.Refuse(jaygw.RefusedStale, "catalog %d has changed the queue at %s%s, the submission allows catalog %d",
-			changed, submit.Host, submit.Path, *submit.CatalogLimit)
+			changed, submit.Host, submit.Path, *limit)
 	} else {
 		result = r.accept(submit, now)
 	}
--- a/internal/entry/relay/order.go
+++ b/internal/entry/relay/order.go
@@ -22,8 +22,9 @@
 		position uint64
 		arrived  time.Time
 		limit    uint64 // number of the oldest catalog that a later call was answered from
-		commits  bool   // its answer cannot be withheld once it is committed
-		floor    uint64 // number of the newest catalog at its arrival; it is not committed under an older one
+		// floor is the number of the newest catalog at the proposal of a command, which is not committed under an older
+		// one. It is zero for queries, and for commands while no catalog is known: these are refused.
+		floor uint64
 	}
 
 	// verdict is whether an answer may be given.
@@ -38,11 +39,11 @@
 
 func newAnswerOrder() *answerOrder { return &answerOrder{open: map[*orderedCall]struct{}{}} }
 
-// arrive registers a call. Commits tells that it changes the state.
-func (o *answerOrder) arrive(commits bool) *orderedCall {
+// arrive registers a call.
+func (o *answerOrder) arrive() *orderedCall {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	call := &orderedCall{position: o.next, arrived: time.Now(), limit: math.MaxUint64, commits: commits, floor: o.newest}
+	call := &orderedCall{position: o.next, arrived: time.Now(), limit: math.MaxUint64}
 	o.next++
 	o.open[call] = struct{}{}
 	return call
@@ -64,8 +65,16 @@
 	return isNew
 }
 
-// limitOf returns the number of the newest catalog by which a call may be handled at present. Later answers do not
-// lower it.
+// propose returns the number of the newest catalog by which a command may be handled that is about to be proposed. No
+// earlier proposal of the command may be undecided. Later answers do not lower the limit.
+func (o *answerOrder) propose(call *orderedCall) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	call.floor = o.newest
+	return o.limit(call)
+}
+
+// limitOf returns the number of the newest catalog by which a call may be handled.
 func (o *answerOrder) limitOf(call *orderedCall) uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -75,7 +84,7 @@
 func (o *answerOrder) limit(call *orderedCall) uint64 {
 	limit := min(o.newest, call.limit)
 	for other := range o.open {
-		if other.commits && other.position > call.position {
+		if other.floor != 0 && other.position > call.position {
 			limit = min(limit, other.floor)
 		}
 	}
--- a/internal/entry/relay/order_test.go
+++ b/internal/entry/relay/order_test.go
@@ -196,6 +196,7 @@
 			if call.err != nil {
 				require.ErrorIs(t, call.err, jaygw.ErrOutdated)
 				require.Less(t, i, len(calls)-1, "the last call was refused")
+				require.Greater(t, g.lastChange(call.path, call.number), 1, "call %d (%s) was refused, although its queue has not changed", i, call.path)
 				continue
 			}
 			for j, later := range calls[i+1:] {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -81,10 +81,10 @@
 // Submit submits a workflow. It returns ErrOutdated, and the workflow is not accepted, if a catalog has changed the
 // queue at its path and a call that arrived later was answered from an older catalog.
 func (r *Relay) Submit(ctx context.Context, submit jaygw.SubmitWorkflow) (jaygw.Result, error) {
-	call := r.order.arrive(true)
+	call := r.order.arrive()
 	defer r.order.leave(call)
 	for {
-		limit := r.order.limitOf(call)
+		limit := r.order.propose(call)
 		submit.CatalogLimit = &limit
 		result, err := r.decide(ctx, "submit", submit.Spec.ID, jaygw.Command{SubmitWorkflow: &submit})
 		if err != nil {
@@ -196,7 +196,7 @@
 	if query.Domain != "" {
 		return r.queryOnce(ctx, query)
 	}
-	call := r.order.arrive(false)
+	call := r.order.arrive()
 	defer r.order.leave(call)
 	for {
 		result, err := r.queryOnce(ctx, query)
