Answer callers through replicas of an earlier build

What callers see: during an upgrade, a query is repeated until its deadline passes, and further calls are refused, if replicas of this and an earlier build answer in turn.

Cause: the result of an earlier build names no catalog, which counted as the catalog 0.

Change: such a result is passed on and changes nothing in the order of answers.

Measured: TestQueryRepeatedForGood did not end within 10 s before, and passes.

--- a/internal/entry/relay/order_test.go
+++ b/internal/entry/relay/order_test.go
@@ -23,6 +23,8 @@
 		mu        sync.Mutex
 		registrar *registrar.Registrar
 		history   []map[string]bool // paths with a queue, by the number of the catalog
+		// unnumbered makes the group answer like an earlier build.
+		unnumbered bool
 	}
 
 	// heldCall is a call to a relay. Its first call to the group waits before it takes effect and before its
@@ -89,11 +91,21 @@
 
 func (g *catalogGroup) Query(ctx context.Context, query jaygw.WorkflowQuery) (result jaygw.WorkflowQueryResult, _ error) {
 	g.hold(ctx, func() { result = g.registrar.Query(query) })
+	if g.unnumbered {
+		result.Number, result.ChangedAt = 0, 0
+	}
 	return result, nil
 }
 
 func (g *catalogGroup) ProposeIdempotent(ctx context.Context, command jaygw.Command, _ time.Duration) (result jaygw.Result, _ error) {
-	g.hold(ctx, func() { result = g.registrar.Submit(*command.SubmitWorkflow, 1) })
+	submit := *command.SubmitWorkflow
+	if g.unnumbered {
+		submit.CatalogLimit = nil
+	}
+	g.hold(ctx, func() { result = g.registrar.Submit(submit, 1) })
+	if g.unnumbered {
+		result.Catalog, result.ChangedAt = 0, 0
+	}
 	return result, nil
 }
 
@@ -157,6 +169,27 @@
 	}
 }
 
+// TestQueryRepeatedForGood guards against a query that is repeated until its context ends because replicas of an earlier build,
+// which name no catalog, answer beside others.
+func TestQueryRepeatedForGood(t *testing.T) {
+	g := newCatalogGroup()
+	g.put(t, "/a/")
+	service := newOrderedRelay(g)
+	current := send(service, "/a/", false, 1)
+	current.takeEffect()
+	current.deliver()
+	g.unnumbered = true
+	for _, submits := range []bool{false, true} {
+		earlier, call := send(service, "/a/", false, 2), send(service, "/a/", submits, 3)
+		for _, c := range []*heldCall{call, earlier} {
+			c.takeEffect()
+			c.deliver()
+			require.NoError(t, c.err)
+			require.Equal(t, 1, c.calls)
+		}
+	}
+}
+
 // TestAnswersFollowArrivals plays random calls and changes of the catalog. Each answer must be one that the catalogs of all
 // answers to later calls allow, and a call without a later one must be answered.
 func TestAnswersFollowArrivals(t *testing.T) {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -91,7 +91,9 @@
 			return result, err
 		}
 		if stale := result.Refusal != nil && result.Refusal.Code == jaygw.RefusedStale; !stale {
-			r.order.settle(call, result.Catalog)
+			if result.Catalog != 0 { // no catalog, or a replica of an earlier build
+				r.order.settle(call, result.Catalog)
+			}
 			return result, nil
 		}
 		r.order.learn(result.Catalog)
@@ -200,7 +202,7 @@
 	defer r.order.leave(call)
 	for {
 		result, err := r.queryOnce(ctx, query)
-		if err != nil {
+		if fromEarlierBuild := result.Number == 0 && !result.NoCatalog; err != nil || fromEarlierBuild {
 			return result, err
 		}
 		switch r.order.admit(call, result.Number, result.ChangedAt) {
