Keep the cancel of an unknown job whose queue is not in the catalog

Cause: the cancel of an unknown job was kept only while the catalog in force had a queue for its path. A submission that was sent before the cancel and waits at an entry or a replica can be committed after a catalog that adds the queue, so the job ran although its cancel was answered 410.

Change: a cancel is kept for each path that can name a job, also without a catalog. TestJobRunsAfterItsCancelFoundNothing counted the cancels kept, 2 of 5; it now expects 4, one for each path with an id. Its other checks are unchanged.

--- a/internal/control/registrar/cancels.go
+++ b/internal/control/registrar/cancels.go
@@ -14,15 +14,13 @@
 func (c UnknownCancel) key() canceledKey { return canceledKey{c.Host, c.Path} }
 
 // retainCancel retains the cancel of an unknown workflow. It returns a refusal if the table is full: the caller
-// must not be told that the workflow does not exist while its submission may still arrive.
+// must not be told that the workflow does not exist while its submission may still arrive. The catalog in force
+// does not tell, since one with a queue for the path may be put in force before that.
 func (r *Registrar) retainCancel(cancel jaygw.CancelWorkflow, now jaygw.Time) *jaygw.Result {
 	r.removeOldCancels(now)
 	key := keyOfCancel(cancel.Host, cancel.Path)
-	if r.state.Catalog == nil || r.canceled[key] {
-		return nil
-	}
-	if queue, id := r.state.Catalog.FindQueue(cancel.Host, cancel.Path); queue == nil || id == "" {
-		return nil // a submission is refused
+	if r.canceled[key] || cancel.Path == "" || strings.HasSuffix(cancel.Path, "/") {
+		return nil // a path that ends with a slash names no workflow
 	}
 	if len(r.state.Canceled) >= r.limits.Canceled {
 		full := jaygw.Refuse(jaygw.RefusedTableFull, "the table of canceled workflows holds its limit of %d", r.limits.Canceled)
--- a/internal/control/registrar/cancels_test.go
+++ b/internal/control/registrar/cancels_test.go
@@ -27,7 +27,7 @@
 	for _, c := range [][2]string{{"H", "/q/late"}, {"h", "/q/late"}, {"h", "/q/older"}, {"h", "/other/elsewhere"}, {"h", "/q/"}} {
 		require.Equal(t, jaygw.RefusedUnknown, cancel(c[0], c[1], start).Code)
 	}
-	require.Len(t, r.Snapshot().Canceled, 2)
+	require.Len(t, r.Snapshot().Canceled, 4, "one for each path with an id")
 	r = restored(t, r)
 	require.Equal(t, jaygw.WorkflowCanceled, state("late", start.Add(time.Minute)))
 	require.Equal(t, jaygw.WorkflowQueued, state("elsewhere", start))
@@ -53,3 +53,22 @@
 	require.Equal(t, jaygw.RefusedUnknown, cancel(0, 1), "it is retained already")
 	require.Equal(t, jaygw.RefusedUnknown, cancel(limit, jaygw.Time(1).Add(time.Hour)), "the others are old")
 }
+
+// TestJobRunsAfterItsCancelFoundNoQueue guards against a workflow that runs although its cancel was answered, because its
+// queue was added after the cancel and before the submission arrived.
+func TestJobRunsAfterItsCancelFoundNoQueue(t *testing.T) {
+	for name, before := range map[string]*jaygw.Catalog{"no catalog": nil, "no queue": {Number: 1}} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(func(string) bool { return false })
+			if before != nil {
+				require.Nil(t, r.PutCatalog(jaygw.PutCatalog{Catalog: *before}).Refusal)
+			}
+			cancel := r.Cancel(jaygw.CancelWorkflow{Host: "h", Path: "/q/late"}, 1)
+			require.Equal(t, jaygw.RefusedUnknown, cancel.Refusal.Code)
+			require.Nil(t, r.PutCatalog(jaygw.PutCatalog{Catalog: catalog(2)}).Refusal)
+			r = restored(t, r)
+			require.Nil(t, r.Submit(jaygw.SubmitWorkflow{Spec: spec("late"), Host: "h", Path: "/q/late"}, 2).Refusal)
+			require.Equal(t, jaygw.WorkflowCanceled, r.Query(jaygw.WorkflowQuery{Host: "h", Path: "/q/late"}).State)
+		})
+	}
+}
