Answer the resend of an accepted submission 404 again after its queue was removed

Cause: acknowledging it is the better answer for its caller, but the users' rule on configurations allows no success on a dropped route, and a resend is a request like any other. 404 says that the queue does not exist, which is true, and promises nothing about the job.

--- a/internal/control/registrar/requests.go
+++ b/internal/control/registrar/requests.go
@@ -31,9 +31,6 @@
 	if r.state.Catalog == nil {
 		return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet")
 	}
-	if r.findWorkflow(submit.Host, submit.Path) != nil {
-		return jaygw.Result{AlreadyApplied: true, Catalog: r.state.Catalog.Number}
-	}
 	changed := r.changedAt(submit.Host, submit.Path)
 	var result jaygw.Result
 	if limit := submit.CatalogLimit; limit != nil && (*limit == 0 || changed > *limit) {
