Keep a member that responds when a caller cancels a query or a proposal

Cause: the end of an attempt of Query or ProposeIdempotent by the cancellation or the deadline of its caller was recorded as a failure of the member, however short the attempt had been. All later calls of the process then went to another member, though the first one responds to the others.

Change: an attempt that its caller ends within half a second records no failure. One that has waited longer without a response still does, so that callers with deadlines shorter than an attempt, such as the read of the latest order on a domain, leave a silent member. Poll, Join, Propose, Renew and Watch are unchanged.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -78,7 +78,7 @@
 		return jaygw.Result{}, err
 	}
 	for {
-		result, err := c.proposeOnce(ctx, data)
+		result, err := c.proposeOnce(ctx, nil, data)
 		if err == nil || command.Client == "" && !errors.Is(err, jaygw.ErrNotLeader) {
 			return result, err
 		}
@@ -88,12 +88,14 @@
 	}
 }
 
-func (c *Client) proposeOnce(ctx context.Context, data []byte) (jaygw.Result, error) {
+// proposeOnce proposes an encoded command to the leader or the current member. The attempt is nil if
+// the caller bounds the time of the proposal.
+func (c *Client) proposeOnce(ctx context.Context, a *attempt, data []byte) (jaygw.Result, error) {
 	var result jaygw.Result
 	group, address := c.memberClient(ctx)
 	response, err := group.Propose(ctx, &messenger.ProposeRequest{Group: c.group, Command: data})
 	if err != nil {
-		c.recordFailure(address, "")
+		c.handleError(ctx, a, address)
 		if errors.Is(err, dialer.ErrUnreachable) {
 			return result, errors.Join(jaygw.ErrNotLeader, err)
 		}
--- a/internal/control/client/workflows.go
+++ b/internal/control/client/workflows.go
@@ -12,20 +12,16 @@
 	"github.com/rotisserie/eris"
 )
 
-// attemptTimeout limits one attempt of a call that may be retried with another member. It is
-// longer than a commit and an election take, and much shorter than the wait limit of callers.
-const attemptTimeout = 700 * time.Millisecond
-
 // Poll sends the poll of an agent to the leader.
 func (c *Client) Poll(ctx context.Context, request jaygw.PollRequest) (jaygw.PollResponse, error) {
 	var result jaygw.PollResponse
-	return result, c.call(ctx, messenger.DRPCGroupClient.Attend, request, &result)
+	return result, c.call(ctx, nil, messenger.DRPCGroupClient.Attend, request, &result)
 }
 
 // Join requests the group to add a replica as a member.
 func (c *Client) Join(ctx context.Context, member jaygw.Member) (jaygw.Result, error) {
 	var result jaygw.Result
-	return result, c.call(ctx, messenger.DRPCGroupClient.Join, member, &result)
+	return result, c.call(ctx, nil, messenger.DRPCGroupClient.Join, member, &result)
 }
 
 // Query reads workflows from a confirmed state. It retries with other members until the
@@ -33,9 +29,9 @@
 func (c *Client) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
 	for attempts := 1; ; attempts++ {
 		var result jaygw.WorkflowQueryResult
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err := c.call(attempt, messenger.DRPCGroupClient.Query, query, &result)
-		cancel()
+		attemptCtx, a := c.beginAttempt(ctx)
+		err := c.call(attemptCtx, a, messenger.DRPCGroupClient.Query, query, &result)
+		c.endAttempt(a)
 		result.Attempts = attempts
 		if err == nil || !c.sleep(ctx, retryInterval) {
 			return result, err
@@ -54,9 +50,9 @@
 	}
 	outcomeUnknown, start := false, time.Now()
 	for {
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		result, err := c.proposeOnce(attempt, data)
-		cancel()
+		attemptCtx, a := c.beginAttempt(ctx)
+		result, err := c.proposeOnce(attemptCtx, a, data)
+		c.endAttempt(a)
 		if err == nil {
 			if outcomeUnknown && result.Refusal != nil {
 				return jaygw.Result{}, eris.Wrap(jaygw.ErrOutcomeUnknown, result.Refusal.Detail)
@@ -76,8 +72,8 @@
 }
 
 // call sends a request to the leader or the current member and decodes the response into the
-// target.
-func (c *Client) call(ctx context.Context, send func(messenger.DRPCGroupClient, context.Context, *messenger.CallRequest) (*messenger.CallResponse, error), request, target any) error {
+// target. The attempt is nil if the request is sent once only.
+func (c *Client) call(ctx context.Context, a *attempt, send func(messenger.DRPCGroupClient, context.Context, *messenger.CallRequest) (*messenger.CallResponse, error), request, target any) error {
 	body, err := encoder.Marshal(request)
 	if err != nil {
 		return err
@@ -85,7 +81,7 @@
 	group, address := c.memberClient(ctx)
 	response, err := send(group, ctx, &messenger.CallRequest{Group: c.group, Body: body})
 	if err != nil {
-		c.recordFailure(address, "")
+		c.handleError(ctx, a, address)
 		return err
 	}
 	if err := converter.ErrorFromCode(response.Error); err != nil {
