Free the calls that wait at a member when another call has failed there

Cause: a query or a proposal that reached a silent leader waited there for its own 0.7 s, even after an earlier attempt had timed out at the leader and later calls went to the next member and were answered.

Change: an attempt of Query or ProposeIdempotent that times out, or that finds the address unreachable, ends the other such attempts that wait at the address. They are sent at once to the member that the client then calls. A freed call that is freed again pauses first, so that calls to members of which none responds are sent at most twice per pause. A proposal that was freed has an unknown outcome, like one that timed out. An address that has responded to another waiting attempt within half a second frees none: under load, the time-out of one call would end calls that are about to be answered, again and again. Poll, Join, Propose, Renew and Watch are unchanged.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -32,12 +32,13 @@
 
 		mu           sync.Mutex
 		seeds        []string
-		members      []string        // addresses to call: the known members, then the other seeds
-		current      int             // index of the member to call while the leader is unknown
-		leader       string          // address of the leader; empty if unknown
-		lastResponse time.Time       // time of the last response without an error
-		adopted      jaygw.GroupView // latest view of the locator that was used
-		lastLeader   time.Time       // time of the last exchange of views with the leader
+		members      []string                 // addresses to call: the known members, then the other seeds
+		current      int                      // index of the member to call while the leader is unknown
+		leader       string                   // address of the leader; empty if unknown
+		lastResponse time.Time                // time of the last response without an error
+		adopted      jaygw.GroupView          // latest view of the locator that was used
+		lastLeader   time.Time                // time of the last exchange of views with the leader
+		open         map[string]*openAttempts // attempts that wait for responses, by address
 	}
 
 	// Option configures a Client.
@@ -60,7 +61,7 @@
 func New(group string, seeds []string, d *dialer.Dialer, options ...Option) *Client {
 	c := &Client{
 		group: group, seeds: slices.Clone(seeds), members: slices.Clone(seeds), dialer: d, locator: locator.New(seeds),
-		log: logrus.StandardLogger(),
+		log: logrus.StandardLogger(), open: map[string]*openAttempts{},
 	}
 	for _, option := range options {
 		option(c)
@@ -92,10 +93,10 @@
 // the caller bounds the time of the proposal.
 func (c *Client) proposeOnce(ctx context.Context, a *attempt, data []byte) (jaygw.Result, error) {
 	var result jaygw.Result
-	group, address := c.memberClient(ctx)
+	group, address := c.memberClient(ctx, a)
 	response, err := group.Propose(ctx, &messenger.ProposeRequest{Group: c.group, Command: data})
 	if err != nil {
-		c.handleError(ctx, a, address)
+		c.handleError(ctx, a, address, err)
 		if errors.Is(err, dialer.ErrUnreachable) {
 			return result, errors.Join(jaygw.ErrNotLeader, err)
 		}
@@ -113,7 +114,7 @@
 
 // Renew sends the lease renewal of a VM.
 func (c *Client) Renew(ctx context.Context, renewal jaygw.Renewal) (jaygw.RenewalResult, error) {
-	group, address := c.memberClient(ctx)
+	group, address := c.memberClient(ctx, nil)
 	response, err := group.Renew(ctx, converter.RenewRequest(renewal))
 	if err == nil {
 		err = converter.ErrorFromCode(response.Error)
@@ -131,7 +132,7 @@
 // older term or index is rejected with ErrNotConfirmed.
 func (c *Client) Watch(ctx context.Context, node string, seen jaygw.View, hold time.Duration) (jaygw.View, error) {
 	view := seen
-	group, address := c.memberClient(ctx)
+	group, address := c.memberClient(ctx, nil)
 	response, err := group.Watch(ctx, &messenger.WatchRequest{
 		Group: c.group, Node: node, Term: seen.Term, Index: uint64(seen.Index), Revision: seen.Revision, HoldNanos: int64(hold),
 	})
@@ -156,13 +157,16 @@
 }
 
 // memberClient returns a client of the leader, or of the current member if the leader is
-// unknown, and its address.
-func (c *Client) memberClient(ctx context.Context) (messenger.DRPCGroupClient, string) {
+// unknown, and its address, at which the attempt then waits if there is one.
+func (c *Client) memberClient(ctx context.Context, a *attempt) (messenger.DRPCGroupClient, string) {
 	c.mu.Lock()
 	address := c.leader
 	if address == "" {
 		address = c.members[c.current%len(c.members)]
 	}
+	if a != nil {
+		c.addAttempt(a, address)
+	}
 	c.mu.Unlock()
 	return messenger.NewDRPCGroupClient(c.dialer.Conn(ctx, address)), address
 }
@@ -173,6 +177,11 @@
 func (c *Client) recordFailure(address, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.selectNext(address, leader)
+}
+
+// selectNext selects the member to call after a failure. The caller must hold the mutex.
+func (c *Client) selectNext(address, leader string) {
 	if c.leader == address {
 		c.leader = ""
 	}
--- a/internal/control/client/workflows.go
+++ b/internal/control/client/workflows.go
@@ -25,15 +25,16 @@
 }
 
 // Query reads workflows from a confirmed state. It retries with other members until the
-// context ends.
+// context ends, without a pause once another call has failed at the member that it waits for.
 func (c *Client) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
+	resent := false // whether the last attempt was sent without a pause
 	for attempts := 1; ; attempts++ {
 		var result jaygw.WorkflowQueryResult
 		attemptCtx, a := c.beginAttempt(ctx)
 		err := c.call(attemptCtx, a, messenger.DRPCGroupClient.Query, query, &result)
-		c.endAttempt(a)
+		resent = c.endAttempt(a, err) && !resent
 		result.Attempts = attempts
-		if err == nil || !c.sleep(ctx, retryInterval) {
+		if err == nil || !resent && !c.sleep(ctx, retryInterval) {
 			return result, err
 		}
 	}
@@ -49,10 +50,11 @@
 		return jaygw.Result{}, err
 	}
 	outcomeUnknown, start := false, time.Now()
+	resent := false // whether the last attempt was sent without a pause
 	for {
 		attemptCtx, a := c.beginAttempt(ctx)
 		result, err := c.proposeOnce(attemptCtx, a, data)
-		c.endAttempt(a)
+		resent = c.endAttempt(a, err) && !resent
 		if err == nil {
 			if outcomeUnknown && result.Refusal != nil {
 				return jaygw.Result{}, eris.Wrap(jaygw.ErrOutcomeUnknown, result.Refusal.Detail)
@@ -60,7 +62,7 @@
 			return result, nil
 		}
 		outcomeUnknown = outcomeUnknown || !errors.Is(err, jaygw.ErrNotLeader)
-		if (outcomeUnknown || time.Since(start) < waitLimit) && c.sleep(ctx, retryInterval) {
+		if (outcomeUnknown || time.Since(start) < waitLimit) && (resent || c.sleep(ctx, retryInterval)) {
 			continue
 		}
 		if outcomeUnknown {
@@ -78,10 +80,10 @@
 	if err != nil {
 		return err
 	}
-	group, address := c.memberClient(ctx)
+	group, address := c.memberClient(ctx, a)
 	response, err := send(group, ctx, &messenger.CallRequest{Group: c.group, Body: body})
 	if err != nil {
-		c.handleError(ctx, a, address)
+		c.handleError(ctx, a, address, err)
 		return err
 	}
 	if err := converter.ErrorFromCode(response.Error); err != nil {
