--- a/internal/control/client/workflows.go
+++ b/internal/control/client/workflows.go
@@ -12,32 +12,29 @@
 	"github.com/rotisserie/eris"
 )
 
-// attemptTimeout limits one attempt of a call that may be retried with another member. It is
-// longer than a commit and an election take, and much shorter than the wait limit of callers.
-const attemptTimeout = 700 * time.Millisecond
-
 // Poll sends the poll of an agent to the leader.
 func (c *Client) Poll(ctx context.Context, request jaygw.PollRequest) (jaygw.PollResponse, error) {
 	var result jaygw.PollResponse
-	return result, c.call(ctx, messenger.DRPCGroupClient.Attend, request, &result)
+	return result, c.call(ctx, nil, messenger.DRPCGroupClient.Attend, request, &result)
 }
 
 // Join requests the group to add a replica as a member.
 func (c *Client) Join(ctx context.Context, member jaygw.Member) (jaygw.Result, error) {
 	var result jaygw.Result
-	return result, c.call(ctx, messenger.DRPCGroupClient.Join, member, &result)
+	return result, c.call(ctx, nil, messenger.DRPCGroupClient.Join, member, &result)
 }
 
 // Query reads workflows from a confirmed state. It retries with other members until the
-// context ends.
+// context ends, without a pause once another call has failed at the member that it waits for.
 func (c *Client) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
+	resent := false // whether the last attempt was sent without a pause
 	for attempts := 1; ; attempts++ {
 		var result jaygw.WorkflowQueryResult
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err := c.call(attempt, messenger.DRPCGroupClient.Query, query, &result)
-		cancel()
+		attemptCtx, a := c.beginAttempt(ctx)
+		err := c.call(attemptCtx, a, messenger.DRPCGroupClient.Query, query, &result)
+		resent = c.endAttempt(a, err) && !resent
 		result.Attempts = attempts
-		if err == nil || !c.sleep(ctx, retryInterval) {
+		if err == nil || !resent && !c.sleep(ctx, retryInterval) {
 			return result, err
 		}
 	}
@@ -53,10 +50,11 @@
 		return jaygw.Result{}, err
 	}
 	outcomeUnknown, start := false, time.Now()
+	resent := false // whether the last attempt was sent without a pause
 	for {
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		result, err := c.proposeOnce(attempt, data)
-		cancel()
+		attemptCtx, a := c.beginAttempt(ctx)
+		result, err := c.proposeOnce(attemptCtx, a, data)
+		resent = c.endAttempt(a, err) && !resent
 		if err == nil {
 			if outcomeUnknown && result.Refusal != nil {
 				return jaygw.Result{}, eris.Wrap(jaygw.ErrOutcomeUnknown, result.Refusal.Detail)
@@ -64,7 +62,7 @@
 			return result, nil
 		}
 		outcomeUnknown = outcomeUnknown || !errors.Is(err, jaygw.ErrNotLeader)
-		if (outcomeUnknown || time.Since(start) < waitLimit) && c.sleep(ctx, retryInterval) {
+		if (outcomeUnknown || time.Since(start) < waitLimit) && (resent || c.sleep(ctx, retryInterval)) {
 			continue
 		}
 		if outcomeUnknown {
@@ -76,16 +74,16 @@
 }
 
 // call sends a request to the leader or the current member and decodes the response into the
-// target.
-func (c *Client) call(ctx context.Context, send func(messenger.DRPCGroupClient, context.Context, *messenger.CallRequest) (*messenger.CallResponse, error), request, target any) error {
+// target. The attempt is nil if the request is sent once only.
+func (c *Client) call(ctx context.Context, a *attempt, send func(messenger.DRPCGroupClient, context.Context, *messenger.CallRequest) (*messenger.CallResponse, error), request, target any) error {
 	body, err := encoder.Marshal(request)
 	if err != nil {
 		return err
 	}
-	group, address := c.memberClient(ctx)
+	group, address := c.memberClient(ctx, a)
 	response, err := send(group, ctx, &messenger.CallRequest{Group: c.group, Body: body})
 	if err != nil {
-		c.recordFailure(address, "")
+		c.handleError(ctx, a, address, err)
 		return err
 	}
 	if err := converter.ErrorFromCode(response.Error); err != nil {
