Verify a voter only once its entries are stored

Cause: a voter whose disk was lost under the same identity is verified when the leader's entries reach it. The vote state is stored before the entries of the same step, so a kill between the two left a voter that is verified and lacks them. Its vote then counted as one of a majority.

Change: the voter is verified by the first message whose commit index an earlier step has stored, at the latest with the next heartbeat.

Measured: TestVerifiedBeforeItsEntriesAreStored failed before: with one disk lost of three and the leader stopped, the others elected a leader and applied another entry at the index of an acknowledged command. It passes now, as do the other tests of the package with 2000 checks. No run of the product has shown it.

--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -27,6 +27,7 @@
 	leaderContact    time.Duration   // time of the last message from the leader
 	votes            map[uint64]bool // voters that granted their vote, and whether each is Verified
 	storing          bool            // the previous step's output had to be stored
+	stored           uint64          // last entry of the log that an earlier step's output has stored
 	failedElections  int             // elections without a lasting leader since the last one with
 	ledSince         time.Duration   // time from which on the present leader is known
 	incomingSnapshot *Snapshot
@@ -100,6 +101,7 @@
 func (c *Core) Step(now time.Duration, inputs ...Input) Output {
 	c.now = now
 	c.output = Output{}
+	c.stored = c.log.last()
 	role, term, leader, voteState := c.role, c.voteState.Term, c.leader, c.voteState
 	if c.storing && c.role != Leader {
 		c.resetElectionDeadline() // nothing could be received while the disk was written
--- a/internal/control/replicator/follower.go
+++ b/internal/control/replicator/follower.go
@@ -95,6 +95,7 @@
 			return
 		}
 		c.log.truncateAndAppend(e)
+		c.stored = min(c.stored, e.Index-1)
 		c.output.Entries = append(c.output.Entries, e)
 	}
 	response.Index = previous + uint64(len(entries))
@@ -122,12 +123,13 @@
 // adoptCommit adopts the leader's commit index as far as the log matches.
 func (c *Core) adoptCommit(m *Message, matched uint64) {
 	c.commit = max(c.commit, min(m.Commit, matched))
-	if c.voteState.Verified || m.Commit == 0 || matched < m.Commit {
+	if c.voteState.Verified || m.Commit == 0 || matched < m.Commit || c.stored < m.Commit {
 		return
 	}
 	// The leader has every entry that was committed in earlier terms, and knows which
 	// entries of its own term are committed. So this log has every committed entry if it
-	// has the last one and that one is of the leader's term.
+	// has the last one and that one is of the leader's term. The vote state is stored before
+	// the entries of a step, so it must not promise entries of the same step.
 	if term, ok := c.log.term(m.Commit); ok && term == m.Term {
 		c.voteState.Verified = true
 	}
@@ -167,6 +169,7 @@
 	// The snapshot also replaces what earlier messages of this step appended or committed.
 	c.output.Entries, c.output.Apply = nil, nil
 	c.log.reset(s.Meta)
+	c.stored = 0
 	c.emitted = s.Meta.Index
 	c.output.Install = &s
 }
