--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -27,6 +27,7 @@
 	leaderContact    time.Duration   // time of the last message from the leader
 	votes            map[uint64]bool // voters that granted their vote, and whether each is Verified
 	storing          bool            // the previous step's output had to be stored
+	stored           uint64          // last entry of the log that an earlier step's output has stored
 	failedElections  int             // elections without a lasting leader since the last one with
 	ledSince         time.Duration   // time from which on the present leader is known
 	incomingSnapshot *Snapshot
@@ -73,9 +74,11 @@
 // Term returns the current term.
 func (c *Core) Term() uint64 { return c.voteState.Term }
 
-// IsReadyLeader reports whether the replica is the leader and the applied index covers every
-// entry that earlier leaders committed.
-func (c *Core) IsReadyLeader(applied uint64) bool { return c.role == Leader && applied >= c.termStart }
+// IsReadyLeader reports whether the replica is the leader, the group is formed and the applied
+// index covers every entry that earlier leaders committed.
+func (c *Core) IsReadyLeader(applied uint64) bool {
+	return c.role == Leader && applied >= c.termStart && c.isFormed()
+}
 
 // Leader returns the id of the leader, or zero if it is unknown.
 func (c *Core) Leader() uint64 { return c.leader }
@@ -100,6 +103,7 @@
 func (c *Core) Step(now time.Duration, inputs ...Input) Output {
 	c.now = now
 	c.output = Output{}
+	c.stored = c.log.last()
 	role, term, leader, voteState := c.role, c.voteState.Term, c.leader, c.voteState
 	if c.storing && c.role != Leader {
 		c.resetElectionDeadline() // nothing could be received while the disk was written
@@ -185,7 +189,7 @@
 }
 
 func (c *Core) propose(p *Proposal) {
-	if c.role != Leader || c.transferDeadline > c.now || p.Term != 0 && p.Term != c.voteState.Term {
+	if c.role != Leader || c.transferDeadline > c.now || p.Term != 0 && p.Term != c.voteState.Term || !c.isFormed() {
 		c.output.Appended = append(c.output.Appended, AppendResult{ID: p.ID, Err: jaygw.ErrNotLeader})
 		return
 	}
@@ -204,6 +208,9 @@
 
 func (c *Core) send(m Message) {
 	m.From = c.config.ID
+	if m.Kind == AppendResponse {
+		m.Unverified = !c.voteState.Verified
+	}
 	c.output.Messages = append(c.output.Messages, m)
 }
 
