Refuse a stale submission by the number of the catalog alone

An answer that there is no catalog, and the answer to a ping, counted as answers to callers.

Change: the state machine compares the number of the catalog in force with the limit of the submission, unless it is a resend of an accepted one; the relay decides by the change of the queue that the refusal names whether the submission may be sent again under the newer catalog. A process without a catalog asks for it first. A failed call that began before the last response no longer makes the process report the control group as lost.

--- a/command.go
+++ b/command.go
@@ -59,9 +59,8 @@
 		Host string       `cbor:"2,keyasint"`
 		// Path is the queue's prefix followed by the workflow's id.
 		Path string `cbor:"3,keyasint"`
-		// CatalogLimit is the number of the newest catalog by which the submission may be handled. It is refused
-		// as stale if a newer one has changed the queue at the path, or if the limit is zero, since its sender
-		// knows no catalog yet. Nil sets no limit.
+		// CatalogLimit is the number of the newest catalog by which the workflow may be accepted; nil sets no limit.
+		// Under a newer one, the submission is refused as stale unless it is a resend of an accepted workflow.
 		CatalogLimit *uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
--- a/internal/control/registrar/requests.go
+++ b/internal/control/registrar/requests.go
@@ -31,15 +31,14 @@
 	if r.state.Catalog == nil {
 		return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet")
 	}
-	changed := r.changedAt(submit.Host, submit.Path)
+	number := r.state.Catalog.Number
 	var result jaygw.Result
-	if limit := submit.CatalogLimit; limit != nil && (*limit == 0 || changed > *limit) {
-		result = jaygw.Refuse(jaygw.RefusedStale, "catalog %d has changed the queue at %s%s, the submission allows catalog %d",
-			changed, submit.Host, submit.Path, *limit)
+	if limit := submit.CatalogLimit; limit != nil && number > *limit && r.findWorkflow(submit.Host, submit.Path) == nil {
+		result = jaygw.Refuse(jaygw.RefusedStale, "catalog %d is in force, the submission allows catalog %d", number, *limit)
 	} else {
 		result = r.accept(submit, now)
 	}
-	result.Catalog, result.ChangedAt = r.state.Catalog.Number, changed
+	result.Catalog, result.ChangedAt = number, r.changedAt(submit.Host, submit.Path)
 	return result
 }
 
--- a/internal/entry/relay/order.go
+++ b/internal/entry/relay/order.go
@@ -22,9 +22,7 @@
 		position uint64
 		arrived  time.Time
 		limit    uint64 // number of the oldest catalog that a later call was answered from
-		// floor is the number of the newest catalog at the proposal of a command, which is not committed under an older
-		// one. It is zero for queries, and for commands while no catalog is known: these are refused.
-		floor uint64
+		floor    uint64 // number of the newest catalog at the last proposal of a command, which is not accepted under an older one
 	}
 
 	// verdict is whether an answer may be given.
@@ -65,8 +63,15 @@
 	return isNew
 }
 
-// propose returns the number of the newest catalog by which a command may be handled that is about to be proposed. No
-// earlier proposal of the command may be undecided. Later answers do not lower the limit.
+// knowsCatalog reports whether a response has named a catalog.
+func (o *answerOrder) knowsCatalog() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.newest != 0
+}
+
+// propose returns the number of the newest catalog by which a command may be handled that is about to be proposed. Later
+// answers do not lower it.
 func (o *answerOrder) propose(call *orderedCall) uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -74,6 +79,16 @@
 	return o.limit(call)
 }
 
+// proposeAgain decides whether a command may be handled by the catalog with a number, after it was refused because that is newer
+// than its limit. The catalog that changedAt names has changed the outcome of the command last.
+func (o *answerOrder) proposeAgain(call *orderedCall, number, changedAt uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.newest = max(o.newest, number)
+	call.floor = o.newest
+	return changedAt <= o.limit(call)
+}
+
 // limitOf returns the number of the newest catalog by which a call may be handled.
 func (o *answerOrder) limitOf(call *orderedCall) uint64 {
 	o.mu.Lock()
@@ -107,12 +122,17 @@
 	return admitted
 }
 
-// settle records that a committed call is answered from the catalog with a number.
-func (o *answerOrder) settle(call *orderedCall, number uint64) {
+// settle decides whether a committed command may be answered from the catalog with a number, like admit, and records the answer
+// if so.
+func (o *answerOrder) settle(call *orderedCall, number, changedAt uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.newest = max(o.newest, number)
+	if changedAt > o.limit(call) {
+		return false
+	}
 	o.record(call, number)
+	return true
 }
 
 func (o *answerOrder) record(call *orderedCall, number uint64) {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -50,6 +50,10 @@
 	// slowQuery is the time from which on an answered query is logged.
 	slowQuery = 250 * time.Millisecond
 
+	// repeatDelay is the delay before a query is repeated that was answered from an older catalog than the
+	// process knows.
+	repeatDelay = 20 * time.Millisecond
+
 	// waitLimit is how long a request waits for a leader: an election takes 0.5 to 1.4 s.
 	// shortWaitLimit applies if the last request did not reach the group: another entry may
 	// reach it, so the caller should get an error soon and retry there.
@@ -78,29 +82,49 @@
 	metrics.GetOrRegisterTimer("clerk."+request+".time", r.registry).UpdateSince(startTime)
 }
 
-// Submit submits a workflow. It returns ErrOutdated, and the workflow is not accepted, if a catalog has changed the
+// Submit submits a workflow. It returns ErrOvertaken, and the workflow is not accepted, if a catalog has changed the
 // queue at its path and a call that arrived later was answered from an older catalog.
 func (r *Relay) Submit(ctx context.Context, submit jaygw.SubmitWorkflow) (jaygw.Result, error) {
 	call := r.order.arrive()
 	defer r.order.leave(call)
-	for {
-		limit := r.order.propose(call)
+	if !r.order.knowsCatalog() {
+		if result, err := r.learnCatalog(ctx); err != nil || result.NoCatalog {
+			return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet"), err
+		}
+	}
+	if limit := r.order.propose(call); limit != 0 { // replicas of an earlier build name no catalog
 		submit.CatalogLimit = &limit
+	}
+	for {
 		result, err := r.decide(ctx, "submit", submit.Spec.ID, jaygw.Command{SubmitWorkflow: &submit})
-		if err != nil {
+		if err != nil || result.Catalog == 0 {
 			return result, err
 		}
-		if stale := result.Refusal != nil && result.Refusal.Code == jaygw.RefusedStale; !stale {
-			if result.Catalog != 0 { // no catalog, or a replica of an earlier build
-				r.order.settle(call, result.Catalog)
+		if result.Refusal != nil && result.Refusal.Code == jaygw.RefusedStale {
+			if !r.order.proposeAgain(call, result.Catalog, result.ChangedAt) {
+				return jaygw.Result{}, r.refuseOvertaken("submit", submit.Path, result.Catalog, result.ChangedAt, call)
 			}
-			return result, nil
+			submit.CatalogLimit = &result.Catalog
+			continue
 		}
-		r.order.learn(result.Catalog)
-		if r.order.limitOf(call) < result.ChangedAt {
-			return jaygw.Result{}, r.refuseOvertaken("submit", submit.Path, result.Catalog, result.ChangedAt, call)
+		if !r.order.settle(call, result.Catalog, result.ChangedAt) {
+			// A resend of an accepted workflow, which must not be answered as if it were not accepted.
+			err := r.refuseOvertaken("submit", submit.Path, result.Catalog, result.ChangedAt, call)
+			return jaygw.Result{}, eris.Wrap(jaygw.ErrOutcomeUnknown, err.Error())
 		}
+		return result, nil
+	}
+}
+
+// learnCatalog queries the number of the catalog in force. It waits for a leader like a command.
+func (r *Relay) learnCatalog(ctx context.Context) (jaygw.WorkflowQueryResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.leaderWait())
+	defer cancel()
+	result, err := r.queryOnce(ctx, jaygw.WorkflowQuery{})
+	if err != nil {
+		return result, errors.Join(jaygw.ErrNotLeader, err)
 	}
+	return result, nil
 }
 
 // refuseOvertaken counts and logs a call that was overtaken, and returns its error.
@@ -110,7 +134,7 @@
 	r.log.WithFields(logrus.Fields{
 		"request": request, "path": path, "number": number, "changed-at": changedAt, "limit": limit, "age": time.Since(call.arrived).String(),
 	}).Warn("clerk: call overtaken by a later one")
-	return eris.Wrapf(jaygw.ErrOutdated, "a later call was answered from catalog %d, and catalog %d has changed the queue", limit, changedAt)
+	return eris.Wrapf(jaygw.ErrOvertaken, "catalog %d has changed the queue, the later call was answered from catalog %d", changedAt, limit)
 }
 
 // Cancel cancels a workflow. Its result does not depend on the catalog.
@@ -167,15 +191,19 @@
 	return result.Order, nil
 }
 
+// leaderWait returns how long a request waits for a leader.
+func (r *Relay) leaderWait() time.Duration {
+	if r.reached.Load() {
+		return waitLimit
+	}
+	return shortWaitLimit
+}
+
 // decide relays a command and counts and logs its outcome. id identifies the command's object in
 // the log.
 func (r *Relay) decide(ctx context.Context, request string, id any, command jaygw.Command) (jaygw.Result, error) {
 	startTime := time.Now()
-	limit := waitLimit
-	if !r.reached.Load() {
-		limit = shortWaitLimit
-	}
-	result, err := r.group.ProposeIdempotent(ctx, command, limit)
+	result, err := r.group.ProposeIdempotent(ctx, command, r.leaderWait())
 	fields := logrus.Fields{"request": request, "id": id, "took": time.Since(startTime).String(), "index": result.Index}
 	switch {
 	case err != nil:
@@ -192,17 +220,14 @@
 	return result, err
 }
 
-// Query reads from a confirmed state. It returns ErrOutdated if a catalog has changed what it asks for and a call that
+// Query reads from a confirmed state. It returns ErrOvertaken if a catalog has changed what it asks for and a call that
 // arrived later was answered from an older catalog.
 func (r *Relay) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
-	if query.Domain != "" {
-		return r.queryOnce(ctx, query)
-	}
 	call := r.order.arrive()
 	defer r.order.leave(call)
 	for {
 		result, err := r.queryOnce(ctx, query)
-		if fromEarlierBuild := result.Number == 0 && !result.NoCatalog; err != nil || fromEarlierBuild {
+		if err != nil || result.Number == 0 { // no catalog, a failure domain, or a replica of an earlier build
 			return result, err
 		}
 		switch r.order.admit(call, result.Number, result.ChangedAt) {
@@ -215,6 +240,11 @@
 			"request": "query", "path": query.Path, "number": result.Number, "index": result.Index, "replica": result.Replica,
 			"age": time.Since(call.arrived).String(),
 		}).Info("clerk: query repeated, a newer catalog is known")
+		select {
+		case <-ctx.Done():
+			return jaygw.WorkflowQueryResult{}, eris.Wrap(ctx.Err(), "wait for a current catalog")
+		case <-time.After(repeatDelay):
+		}
 	}
 }
 
@@ -259,12 +289,12 @@
 
 // recordContact records whether the control group has responded, and logs when it is lost or
 // reached again. It ignores the outcome of a request that the caller has canceled, because
-// that does not depend on the group.
+// that does not depend on the group, and a failure of one that began before the last response.
 func (r *Relay) recordContact(ctx context.Context, err error, startTime time.Time) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	reached := err == nil
+	if errors.Is(ctx.Err(), context.Canceled) || !reached && startTime.UnixNano() <= r.lastResponse.Load() {
 		return
 	}
-	reached := err == nil
 	if reached {
 		r.lastResponse.Store(time.Now().UnixNano())
 	}
@@ -290,7 +320,7 @@
 		if time.Since(time.Unix(0, r.lastResponse.Load())) >= pingInterval {
 			bounded, cancel := context.WithTimeout(ctx, pingTimeout)
 			// The response may be that there is no such queue; any response suffices.
-			if _, err := r.Query(bounded, jaygw.WorkflowQuery{}); err != nil {
+			if _, err := r.queryOnce(bounded, jaygw.WorkflowQuery{}); err != nil {
 				r.log.WithError(err).Debug("clerk: no response to a ping")
 			}
 			cancel()
--- a/poll.go
+++ b/poll.go
@@ -388,12 +388,13 @@
 // WorkflowService is the workflow service: it takes the requests of callers and operators
 // about workflows, catalogs and failure domains.
 type WorkflowService interface {
-	// Submit accepts a workflow. After ErrNotLeader it was not accepted and never
+	// Submit accepts a workflow. After ErrNotLeader and ErrOvertaken it was not accepted and never
 	// will be; after any other error its outcome is unknown.
 	Submit(ctx context.Context, submit SubmitWorkflow) (Result, error)
 	// Cancel ends a workflow. Errors have the same meaning as those of Submit.
 	Cancel(ctx context.Context, cancel CancelWorkflow) (Result, error)
-	// Query reads from a state that a quorum has confirmed after the call began.
+	// Query reads from a state that a quorum has confirmed after the call began. ErrOvertaken means that a
+	// call that arrived later was answered from an older catalog.
 	Query(ctx context.Context, query WorkflowQuery) (WorkflowQueryResult, error)
 	// PutCatalog puts a catalog in force.
 	PutCatalog(ctx context.Context, catalog Catalog) (Result, error)
--- a/refusal.go
+++ b/refusal.go
@@ -77,6 +77,9 @@
 	// ErrOutdated is returned for an order that its sender may have given up. It was not carried
 	// out and never will be.
 	ErrOutdated = errors.New("the order waited too long, and its sender may have given it up")
+	// ErrOvertaken is returned for a call that was not carried out and never will be, because a call that arrived
+	// later was answered from an older catalog. It may be sent again at once.
+	ErrOvertaken = errors.New("a later call was answered from an older catalog")
 	// ErrInvalidMessage is returned for a message that cannot be read.
 	ErrInvalidMessage = errors.New("the message is malformed")
 	// ErrWrongGroup is returned for a message to another control group.
