Count a call as arrived before its body is read

What callers see: a submission whose body arrives slowly is answered from a newer catalog than a call that was sent, and answered, after it.

Cause: a call took its place in the order of answers once its body had been read.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -39,6 +39,9 @@
 
 	// Option configures a Relay that New creates.
 	Option func(*Relay)
+
+	// arrivalKey is the key of a call's orderedCall in its context.
+	arrivalKey struct{}
 )
 
 const (
@@ -82,11 +85,22 @@
 	metrics.GetOrRegisterTimer("clerk."+request+".time", r.registry).UpdateSince(startTime)
 }
 
+// Arrive registers a call that has not been read completely, so that it keeps its place. A call that has arrived
+// already, at this relay, keeps its place as well.
+func (r *Relay) Arrive(ctx context.Context) (context.Context, func()) {
+	if _, ok := ctx.Value(arrivalKey{}).(*orderedCall); ok {
+		return ctx, func() {}
+	}
+	call := r.order.arrive()
+	return context.WithValue(ctx, arrivalKey{}, call), func() { r.order.leave(call) }
+}
+
 // Submit submits a workflow. It returns ErrOvertaken, and the workflow is not accepted, if a catalog has changed the
 // queue at its path and a call that arrived later was answered from an older catalog.
 func (r *Relay) Submit(ctx context.Context, submit jaygw.SubmitWorkflow) (jaygw.Result, error) {
-	call := r.order.arrive()
-	defer r.order.leave(call)
+	ctx, leave := r.Arrive(ctx)
+	defer leave()
+	call, _ := ctx.Value(arrivalKey{}).(*orderedCall)
 	if !r.order.knowsCatalog() {
 		if result, err := r.learnCatalog(ctx); err != nil || result.NoCatalog {
 			return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet"), err
@@ -223,8 +237,9 @@
 // Query reads from a confirmed state. It returns ErrOvertaken if a catalog has changed what it asks for and a call that
 // arrived later was answered from an older catalog.
 func (r *Relay) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
-	call := r.order.arrive()
-	defer r.order.leave(call)
+	ctx, leave := r.Arrive(ctx)
+	defer leave()
+	call, _ := ctx.Value(arrivalKey{}).(*orderedCall)
 	for {
 		result, err := r.queryOnce(ctx, query)
 		if err != nil || result.Number == 0 { // no catalog, a failure domain, or a replica of an earlier build
--- a/poll.go
+++ b/poll.go
@@ -388,6 +388,9 @@
 // WorkflowService is the workflow service: it takes the requests of callers and operators
 // about workflows, catalogs and failure domains.
 type WorkflowService interface {
+	// Arrive registers a call for the order in which Submit and Query answer. They take its place from the returned
+	// context; without one, a call arrives when it is made. Leave must be called when the call has ended.
+	Arrive(ctx context.Context) (arrived context.Context, leave func())
 	// Submit accepts a workflow. After ErrNotLeader and ErrOvertaken it was not accepted and never
 	// will be; after any other error its outcome is unknown.
 	Submit(ctx context.Context, submit SubmitWorkflow) (Result, error)
