Take the stale refusal of a submission for final after a lost attempt

What callers see: 504 for a submission that waits at a lost member while a new catalog comes into force, although it was not accepted and could be sent again at once.

Cause: any refusal after an attempt without an answer counted as an unknown outcome.

Change: the refusal of a submission as stale is final. An accepted copy is acknowledged in spite of its limit, and the number of the catalog in force only rises, so that no earlier attempt was or will be accepted.

Measured: TestStaleSubmissionIsUndecided failed before ("the outcome of the command is unknown") and passes.

--- a/internal/control/client/workflows.go
+++ b/internal/control/client/workflows.go
@@ -56,7 +56,7 @@
 		result, err := c.proposeOnce(attemptCtx, a, data)
 		resent = c.endAttempt(a, err) && !resent
 		if err == nil {
-			if outcomeUnknown && result.Refusal != nil {
+			if outcomeUnknown && result.Refusal != nil && !isFinal(command, result.Refusal) {
 				return jaygw.Result{}, eris.Wrap(jaygw.ErrOutcomeUnknown, result.Refusal.Detail)
 			}
 			return result, nil
@@ -73,6 +73,12 @@
 	}
 }
 
+// isFinal reports whether a refusal also holds for earlier attempts of the command. The catalog in force never returns to an older
+// one, so that a stale submission stays stale, and an accepted one is not refused as stale.
+func isFinal(command jaygw.Command, refusal *jaygw.Refusal) bool {
+	return command.SubmitWorkflow != nil && refusal.Code == jaygw.RefusedStale
+}
+
 // call sends a request to the leader or the current member and decodes the response into the
 // target. The attempt is nil if the request is sent once only.
 func (c *Client) call(ctx context.Context, a *attempt, send func(messenger.DRPCGroupClient, context.Context, *messenger.CallRequest) (*messenger.CallResponse, error), request, target any) error {
--- a/internal/control/client/workflows_test.go
+++ b/internal/control/client/workflows_test.go
@@ -116,3 +116,21 @@
 	require.ErrorIs(t, err, jaygw.ErrNotLeader)
 	require.Less(t, time.Since(start), 2*time.Second, "a command that was never sent must fail after the wait limit")
 }
+
+// TestStaleSubmissionIsUndecided guards against a submission that is given up as undecided after a lost attempt, although the
+// group has refused it as stale, which no earlier attempt can have escaped.
+func TestStaleSubmissionIsUndecided(t *testing.T) {
+	m, address := serve(t)
+	d := dialer.New()
+	defer d.Close()
+	stale, err := encoder.Marshal(jaygw.Refuse(jaygw.RefusedStale, "catalog 6 is in force"))
+	require.NoError(t, err)
+	m.responses <- errorResponse(messenger.ErrorCode_ERROR_CODE_OUTCOME_UNKNOWN)
+	m.responses <- func() (*messenger.ProposeResponse, error) { return &messenger.ProposeResponse{Result: stale}, nil }
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	command := jaygw.Command{SubmitWorkflow: &jaygw.SubmitWorkflow{Host: "h", Path: "/q/x"}}
+	result, err := client.New("main", []string{address}, d).ProposeIdempotent(ctx, command, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, jaygw.RefusedStale, result.Refusal.Code)
+}
