Let a new group accept commands once all its voters are verified

Cause: the first leader of a group accepted commands as soon as a majority had stored its first entry.

Change: responses to a leader say whether the replica is verified. The leader of a group without any command refuses proposals, as during a transfer of the leadership, until all voters are verified or without contact for the time after which one is removed. A learner becomes a voter only once it is verified.

The existing tests that put a command without a retry wait until the group is formed, within the same time limit as before; what they check is unchanged.

--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -74,9 +74,11 @@
 // Term returns the current term.
 func (c *Core) Term() uint64 { return c.voteState.Term }
 
-// IsReadyLeader reports whether the replica is the leader and the applied index covers every
-// entry that earlier leaders committed.
-func (c *Core) IsReadyLeader(applied uint64) bool { return c.role == Leader && applied >= c.termStart }
+// IsReadyLeader reports whether the replica is the leader, the group is formed and the applied
+// index covers every entry that earlier leaders committed.
+func (c *Core) IsReadyLeader(applied uint64) bool {
+	return c.role == Leader && applied >= c.termStart && c.isFormed()
+}
 
 // Leader returns the id of the leader, or zero if it is unknown.
 func (c *Core) Leader() uint64 { return c.leader }
@@ -187,7 +189,7 @@
 }
 
 func (c *Core) propose(p *Proposal) {
-	if c.role != Leader || c.transferDeadline > c.now || p.Term != 0 && p.Term != c.voteState.Term {
+	if c.role != Leader || c.transferDeadline > c.now || p.Term != 0 && p.Term != c.voteState.Term || !c.isFormed() {
 		c.output.Appended = append(c.output.Appended, AppendResult{ID: p.ID, Err: jaygw.ErrNotLeader})
 		return
 	}
@@ -206,6 +208,9 @@
 
 func (c *Core) send(m Message) {
 	m.From = c.config.ID
+	if m.Kind == AppendResponse {
+		m.Unverified = !c.voteState.Verified
+	}
 	c.output.Messages = append(c.output.Messages, m)
 }
 
--- a/internal/control/replicator/core_test.go
+++ b/internal/control/replicator/core_test.go
@@ -41,7 +41,10 @@
 		// A leader that transfers its leadership rejects proposals for an election time and
 		// its callers retry; the put below is not retried.
 		c.runUntil(DefaultElection, func() bool { return false })
-		require.True(t, c.runUntil(time.Minute, func() bool { n := c.leader(); return n != nil && n.core.commit >= c.highest }), "no leader\n%s", c)
+		require.True(t, c.runUntil(time.Minute, func() bool {
+			n := c.leader()
+			return n != nil && n.core.commit >= c.highest && n.core.isFormed()
+		}), "no leader\n%s", c)
 		target := c.highest + 1
 		c.put(c.leader())
 		require.True(t, c.runUntil(time.Minute, func() bool { return c.converged(target) }), "no progress\n%s", c)
@@ -72,7 +75,7 @@
 
 func newHealthyCluster(t *rapid.T, size int) *cluster {
 	c := newCluster(t, size, rapid.Uint64().Draw(t, "seed"))
-	require.True(t, c.runUntil(time.Minute, func() bool { return c.converged(1) }))
+	require.True(t, c.runUntil(time.Minute, func() bool { return c.converged(1) && c.leader().core.isFormed() }))
 	return c
 }
 
--- a/internal/control/replicator/log.go
+++ b/internal/control/replicator/log.go
@@ -15,6 +15,7 @@
 		baseTerm    uint64 // term of the entry at base; zero if unknown
 		entries     []Entry
 		memberships []membership // by index; the first is the one at the snapshot
+		hasCommand  bool         // an entry with a command has been in the log
 	}
 
 	// membership is the list of members that is in force from an index on.
@@ -43,6 +44,7 @@
 
 // recordMembership adds the membership that an entry starts, if it starts one.
 func (l *memoryLog) recordMembership(e Entry) {
+	l.hasCommand = l.hasCommand || e.Kind == CommandEntry
 	if e.Kind == MembersEntry && e.Index > l.snapshot.Index {
 		l.memberships = append(l.memberships, membership{index: e.Index, members: e.Members})
 	}
--- a/internal/control/replicator/members.go
+++ b/internal/control/replicator/members.go
@@ -156,9 +156,22 @@
 	return p != nil && c.now-p.lastContact < c.config.Election
 }
 
-// hasCaughtUp reports whether a responsive member has every committed entry.
+// hasCaughtUp reports whether a responsive member is verified and has every committed entry.
 func (c *Core) hasCaughtUp(id uint64) bool {
-	return c.isResponsive(id) && c.progress[id].match >= c.commit
+	return c.isResponsive(id) && c.progress[id].match >= c.commit && c.progress[id].verified
+}
+
+// isFormed reports whether the group accepts commands. A new one does once all its voters are verified:
+// with a command that a mere majority has stored, the loss of a disk could leave too few verified voters for
+// an election. A voter without contact for as long as it takes to remove one counts as lost.
+func (c *Core) isFormed() bool {
+	return c.log.hasCommand || c.log.snapshot.Index > 0 || !slices.ContainsFunc(voters(c.Members()), func(id uint64) bool {
+		if id == c.config.ID {
+			return !c.voteState.Verified
+		}
+		p, limit := c.progress[id], c.config.RemoveUnresponsiveAfter
+		return p == nil || !p.verified && (limit == 0 || c.now-p.lastContact < limit)
+	})
 }
 
 // longestUnresponsive returns the voter that has not responded for the longest time, if that
--- a/internal/control/replicator/members_test.go
+++ b/internal/control/replicator/members_test.go
@@ -192,7 +192,7 @@
 	for _, n := range c.nodes {
 		n.core.config.RemoveUnresponsiveAfter, n.core.config.ToleratedLosses = 6*time.Second, losses
 	}
-	require.True(t, c.runUntil(time.Minute, func() bool { return c.converged(1) }))
+	require.True(t, c.runUntil(time.Minute, func() bool { return c.converged(1) && c.leader().core.isFormed() }))
 	return c
 }
 
--- a/internal/control/replicator/types.go
+++ b/internal/control/replicator/types.go
@@ -66,7 +66,7 @@
 		Round      uint64        `cbor:"8,keyasint,omitempty"`
 		Refused    bool          `cbor:"9,keyasint,omitempty"`  // in a response: the request was rejected
 		Hint       uint64        `cbor:"10,keyasint,omitempty"` // in a refusal: last index that may match
-		Unverified bool          `cbor:"11,keyasint,omitempty"` // the voter is not Verified, see VoteState
+		Unverified bool          `cbor:"11,keyasint,omitempty"` // the sender of the response is not Verified, see VoteState
 		Read       uint64        `cbor:"12,keyasint,omitempty"` // id of the read
 		Entries    []Entry       `cbor:"13,keyasint,omitempty"`
 		Meta       *SnapshotMeta `cbor:"14,keyasint,omitempty"` // snapshot that the chunk belongs to
@@ -118,7 +118,7 @@
 		Index          uint64
 		Term           uint64
 		AlreadyApplied bool  // the members have been as requested since Index; no entry was appended
-		Err            error // jaygw.ErrNotLeader or a *jaygw.Refusal; no entry was appended
+		Err            error // jaygw.ErrNotLeader, also of a leader that accepts no commands yet, or a *jaygw.Refusal; no entry was appended
 	}
 
 	// ReadResult is the result of a read: the state is current once it has applied Index.
