Form a group that removes no members without a lost voter

What callers see: after the loss of a voter, a group that removes no unresponsive members and has no command yet has no leader that serves.

Cause: a leader waits until all voters of a group without commands are verified, or silent for as long as it takes to remove one. Without a removal time there was no such limit.

Change: the limit is then 6 s.

Measured: TestMemberCommandsReplaceALostReplica failed once merged ("the client did not learn the new members", 60 s) and passes in 11 s; TestNewGroupWaitsForLostVoter draws both cases and fails with a limit of an hour.

--- a/internal/control/replicator/members.go
+++ b/internal/control/replicator/members.go
@@ -8,6 +8,10 @@
 	"github.com/jaygw/jaygw"
 )
 
+// formationLimit is the time without contact from which on a voter does not hold up a new group that
+// removes no unresponsive voters.
+const formationLimit = 6 * time.Second
+
 // handleChange appends a membership change, or refuses it.
 func (c *Core) handleChange(change *Change) {
 	result := AppendResult{ID: change.ID}
@@ -165,12 +169,16 @@
 // with a command that a mere majority has stored, the loss of a disk could leave too few verified voters for
 // an election. A voter without contact for as long as it takes to remove one counts as lost.
 func (c *Core) isFormed() bool {
+	limit := c.config.RemoveUnresponsiveAfter
+	if limit == 0 {
+		limit = formationLimit
+	}
 	return c.log.hasCommand || c.log.snapshot.Index > 0 || !slices.ContainsFunc(voters(c.Members()), func(id uint64) bool {
 		if id == c.config.ID {
 			return !c.voteState.Verified
 		}
-		p, limit := c.progress[id], c.config.RemoveUnresponsiveAfter
-		return p == nil || !p.verified && (limit == 0 || c.now-p.lastContact < limit)
+		p := c.progress[id]
+		return p == nil || !p.verified && c.now-p.lastContact < limit
 	})
 }
 
--- a/internal/control/replicator/verified_test.go
+++ b/internal/control/replicator/verified_test.go
@@ -96,8 +96,9 @@
 			return
 		}
 		c := newCluster(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		removal := rapid.SampledFrom([]time.Duration{0, 6 * time.Second}).Draw(t, "removal")
 		for _, n := range c.nodes {
-			n.core.config.RemoveUnresponsiveAfter = 6 * time.Second
+			n.core.config.RemoveUnresponsiveAfter = removal
 		}
 		require.True(t, c.runUntil(time.Minute, func() bool { return c.leader() != nil }))
 		lost := c.survivors(c.leader())[0]
