Open no session of a VM while ends of its runs are being committed

Cause: the leader checked the session of a poll and then proposed the ends that the poll reports. In between, the session of the next agent process could be opened and start the run, and the end of the earlier process then freed that run, which was granted elsewhere while its worker ran it.

Change: the leader marks a VM while ends of a poll are on their way into the log and opens no session of it meanwhile; while a session is opened it takes no ends. Proposals of one term enter the log in the order in which they were made, also those with an unknown outcome, and a later term refuses them, so the log has the end before the session or the end is not proposed. The refused poll gets no response, so no end is confirmed by it and the agent reports it again. The commands are as before: a check in the state machine would let replicas of earlier builds, which don't know the field, free a run that the others keep.

The log line "session refused" has the field "ending"; a refused end has the line "ends refused while a session is opened".

--- a/internal/schedule/orchestrator/poll.go
+++ b/internal/schedule/orchestrator/poll.go
@@ -8,6 +8,7 @@
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/jaygw/jaygw/internal/control/registrar"
+	"github.com/sirupsen/logrus"
 )
 
 // expiryRetryDelay is the delay before a poll is tried again while the end of its VM's lease is
@@ -43,9 +44,14 @@
 		var command *jaygw.Command
 		var err error
 		var term uint64
+		refused := false
 		o.withRegistrar(func(state *registrar.Registrar) {
 			term = o.term
 			command, err = o.recordPoll(request, state, time.Now())
+			if command != nil && err == nil {
+				err = o.beginEnds(request.VM)
+				refused = err != nil
+			}
 		})
 		if errors.Is(err, errExpiring) {
 			select {
@@ -55,10 +61,18 @@
 			}
 			continue
 		}
+		if refused {
+			o.log.WithFields(logrus.Fields{
+				"vm": request.VM, "process": request.Process, "sequence": request.Sequence, "runs": len(request.Ended),
+			}).Info("scheduler: ends refused while a session is opened")
+		}
 		if command == nil || err != nil {
 			return err
 		}
 		result, err := o.replica.Propose(jaygw.InTerm(ctx, term), *command)
+		o.mu.Lock()
+		o.finishEnds(request.VM)
+		o.mu.Unlock()
 		if err != nil {
 			return err
 		}
--- a/internal/schedule/orchestrator/session.go
+++ b/internal/schedule/orchestrator/session.go
@@ -28,7 +28,7 @@
 	var command *jaygw.Command
 	var err error
 	var previous registrar.Session
-	runs := 0
+	runs, ending := 0, 0
 	o.withRegistrar(func(state *registrar.Registrar) {
 		ctx = jaygw.InTerm(ctx, o.term)
 		command, err = o.sessionCommand(request, state)
@@ -39,16 +39,13 @@
 		if command == nil {
 			return
 		}
-		if o.opening[request.VM] {
-			err = jaygw.ErrNotConfirmed
-			return
-		}
-		o.opening[request.VM] = true
+		ending = o.ending[request.VM]
+		err = o.beginSession(request.VM)
 	})
 	fields := logrus.Fields{
 		"vm": request.VM, "process": request.Process, "sequence": request.Sequence, "previous-session": previous.Number,
 		"previous-process": previous.Process, "previous-worker": previous.Life.Name, "previous-born": int64(previous.Life.StartTime), "runs": runs,
-		"runs-unknown": request.RunsUnknown,
+		"runs-unknown": request.RunsUnknown, "ending": ending,
 	}
 	if request.Worker != nil {
 		fields["worker"], fields["born"] = request.Worker.Incarnation.Name, int64(request.Worker.Incarnation.StartTime)
@@ -113,6 +110,32 @@
 	}}, nil
 }
 
+// beginSession marks the session of a VM as being opened. It refuses a second one, and one while the ends of a
+// poll are being committed: these would take effect after the new session may have started the runs.
+func (t *vmTable) beginSession(vm string) error {
+	if t.opening[vm] || t.ending[vm] > 0 {
+		return jaygw.ErrNotConfirmed
+	}
+	t.opening[vm] = true
+	return nil
+}
+
+// beginEnds marks the ends of a poll as being committed, and refuses them while a session of the VM is opened.
+func (t *vmTable) beginEnds(vm string) error {
+	if t.opening[vm] {
+		return jaygw.ErrNotConfirmed
+	}
+	t.ending[vm]++
+	return nil
+}
+
+// finishEnds is called once the ends of a poll are in the log, or never will be.
+func (t *vmTable) finishEnds(vm string) {
+	if t.ending[vm]--; t.ending[vm] <= 0 {
+		delete(t.ending, vm)
+	}
+}
+
 // endsBeforeSession returns the command that commits the ends that a poll reports before the poll opens
 // a session, or nil. The session ends the other runs of an earlier incarnation: a run that is done would
 // be granted again before its end is committed.
--- a/internal/schedule/orchestrator/simulation_test.go
+++ b/internal/schedule/orchestrator/simulation_test.go
@@ -375,14 +375,13 @@
 	case command == nil:
 		s.commitEnds(request, arrived, respond)
 		return
-	case s.table.opening[request.VM]:
+	case s.table.beginSession(request.VM) != nil:
 		return
 	}
 	commands := []jaygw.Command{*command}
 	if ends := endsBeforeSession(request); ends != nil {
 		commands = []jaygw.Command{*ends, *command}
 	}
-	s.table.opening[request.VM] = true
 	s.proposeAll(commands, term, func(err error) {
 		delete(s.table.opening, request.VM)
 		if err == nil {
@@ -398,9 +397,15 @@
 	}
 	var commands []jaygw.Command
 	if command != nil {
+		if s.table.beginEnds(request.VM) != nil {
+			return
+		}
 		commands = append(commands, *command)
 	}
 	s.proposeAll(commands, s.term, func(err error) {
+		if command != nil {
+			s.table.finishEnds(request.VM)
+		}
 		if err != nil || s.unconfirmed() {
 			return
 		}
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -33,6 +33,7 @@
 		advice *adviceTable
 
 		opening   map[string]bool      // VMs whose session is being opened
+		ending    map[string]int       // polls whose ends of runs are being committed, by VM
 		latePolls map[string]latePolls // refused polls of superseded processes, by VM
 	}
 
@@ -86,7 +87,7 @@
 func newVMTable(lease time.Duration) *vmTable {
 	return &vmTable{
 		vms: map[string]*vmState{}, siblings: siblings{}, leaseDuration: lease, images: estimator.NewImageEffects(), speeds: estimator.NewSpeeds(),
-		advice: newAdviceTable(), opening: map[string]bool{}, latePolls: map[string]latePolls{},
+		advice: newAdviceTable(), opening: map[string]bool{}, ending: map[string]int{}, latePolls: map[string]latePolls{},
 	}
 }
 
