Acknowledge late heartbeats without taking over what they report

Cause: the number of a heartbeat was read and not used. A second heartbeat that repeats a changed profile is taken for the worker's, so two delayed ones of the same incarnation in a row gave the worker its earlier size, service or labels again, and with that a wrong limit of its runs, until two newer ones came. Each of them also set the address for orders.

Change: a heartbeat of the present incarnation whose number is not above the accepted one is acknowledged and changes neither the profile nor the address. What stays true counts: that the worker drains, and the least reading of its clock. It is counted (agent.heartbeats-late) and logged with both numbers. A heartbeat without a number is treated as before. After a number of another program that the worker never reaches, eight late ones in a row, each with a higher number, are taken for late and the next one counts; copies don't add to the row. A contradiction that is refused doesn't set the number.

The number stays inside the agent (cbor "-"), nothing stored or sent changes.

TestHugeSequenceLocksWorkerOut guards the new rule.

--- a/internal/agent/poller/poller.go
+++ b/internal/agent/poller/poller.go
@@ -111,7 +111,8 @@
 
 // Heartbeat handles a worker's report of its state; clock is the reading of the worker's clock in the
 // report. A report of an incarnation other than the current one may be an old one that arrives
-// late, so it is accepted only if the worker confirms that incarnation.
+// late, so it is accepted only if the worker confirms that incarnation. One of the current incarnation that was
+// sent before the accepted one returns jaygw.ErrLateReport.
 func (a *Poller) Heartbeat(ctx context.Context, w jaygw.PoolWorker, clock time.Duration) error {
 	a.mu.Lock()
 	current, fence := a.incarnation()
@@ -144,6 +145,19 @@
 		a.mu.Unlock()
 		return errOtherReport
 	}
+	if a.runner.IsLate(w) {
+		changed := a.runner.ReportLate(w, clock, a.now())
+		latest := a.runner.ReportSequence()
+		a.mu.Unlock()
+		a.count("heartbeats-late")
+		a.log.WithFields(logrus.Fields{
+			"worker": w.Incarnation.Name, "born": int64(w.Incarnation.StartTime), "sequence": w.Sequence, "latest": latest, "draining": w.Draining,
+		}).Info("agent: late heartbeat")
+		if changed {
+			notify(a.reportReady)
+		}
+		return jaygw.ErrLateReport
+	}
 	if a.runner.Contradicts(w) {
 		a.mu.Unlock()
 		a.count("heartbeats-refused")
--- a/internal/agent/poller/poller_test.go
+++ b/internal/agent/poller/poller_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/runner"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
@@ -248,3 +250,83 @@
 	current, _ := a.incarnation()
 	require.Equal(t, worker.incarnation, current)
 }
+
+// TestLateHeartbeatsChangeProfile guards against two delayed heartbeats of the same incarnation that arrive in a row
+// and give the worker its earlier size again.
+func TestLateHeartbeatsChangeProfile(t *testing.T) {
+	log, logged := logtest.NewNullLogger()
+	worker := &workerStub{}
+	a := New(nil, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)))
+	report := func(sequence uint64, cores jaygw.MilliCores) error {
+		w := jaygw.PoolWorker{Incarnation: worker.incarnation, Service: "s", Size: jaygw.Resources{CPU: cores * jaygw.Core}, Sequence: sequence}
+		return a.Heartbeat(t.Context(), w, time.Second)
+	}
+	size := func() int { return int(a.runner.Worker().Size.CPU / jaygw.Core) }
+	worker.restart(10, time.Second)
+	require.NoError(t, report(1, 8))
+	require.ErrorIs(t, report(5, 4), errContradiction)
+	require.NoError(t, report(6, 4))
+	require.Equal(t, 4, size())
+	var errs []error
+	for _, late := range []uint64{2, 3, 3, 4, 5, 6} {
+		errs = append(errs, report(late, 8))
+		require.Equal(t, 4, size(), "after heartbeat %d", late)
+	}
+	for _, err := range errs {
+		require.ErrorIs(t, err, jaygw.ErrLateReport)
+	}
+	lines := slices.DeleteFunc(logged.AllEntries(), func(e *logrus.Entry) bool { return e.Message != "agent: late heartbeat" })
+	require.Len(t, lines, 6)
+	require.EqualValues(t, 6, metrics.GetOrRegisterCounter("agent.heartbeats-late", a.registry).Count())
+	require.NoError(t, report(7, 4), "the next one is not late")
+
+	// A worker that drains does so until its incarnation ends, whenever its heartbeat arrives.
+	require.ErrorIs(t, a.Heartbeat(t.Context(), jaygw.PoolWorker{
+		Incarnation: worker.incarnation, Service: "s", Size: jaygw.Resources{CPU: 8 * jaygw.Core}, Draining: true, Sequence: 5,
+	}, time.Second), jaygw.ErrLateReport)
+	require.True(t, a.runner.Worker().Draining)
+	require.Equal(t, 4, size())
+
+	// A heartbeat without a number is never late.
+	require.ErrorIs(t, report(0, 8), errContradiction)
+	require.NoError(t, report(0, 8))
+	require.Equal(t, 8, size())
+}
+
+// TestHugeSequenceLocksWorkerOut guards against a worker whose heartbeats all count as late after one of another program
+// under its id and start time, with a number that it will never reach.
+func TestHugeSequenceLocksWorkerOut(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	worker := &workerStub{}
+	a := New(nil, worker, runner.New("vm", 1, time.Second), WithLogger(logrus.FieldLogger(log)))
+	w := worker.restart(10, time.Second)
+	for sequence := uint64(1); sequence < 10; sequence++ {
+		w.Sequence = sequence
+		require.NoError(t, a.Heartbeat(t.Context(), w, time.Second))
+	}
+	for range 2 {
+		odd := w
+		odd.Sequence = math.MaxUint64
+		require.NoError(t, a.Heartbeat(t.Context(), odd, time.Second))
+		refused, accepted := 0, 0
+		for accepted < 3 {
+			w.Sequence++
+			if err := a.Heartbeat(t.Context(), w, time.Second); err == nil {
+				accepted++
+				continue
+			}
+			refused++
+			copied := w // shows no later state
+			require.ErrorIs(t, a.Heartbeat(t.Context(), copied, time.Second), jaygw.ErrLateReport)
+			require.Less(t, refused, 10)
+			require.Zero(t, accepted, "none counts as late after the first that does not")
+		}
+		require.Positive(t, refused)
+	}
+	// A contradiction that another program sends does not count.
+	odd := w
+	odd.Service, odd.Sequence = "elsewhere", math.MaxUint64
+	require.ErrorIs(t, a.Heartbeat(t.Context(), odd, time.Second), errContradiction)
+	w.Sequence++
+	require.NoError(t, a.Heartbeat(t.Context(), w, time.Second))
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -20,6 +20,8 @@
 		longestLease   time.Duration
 		worker         *jaygw.PoolWorker
 		contradiction  *jaygw.PoolWorker // the last report, if it contradicts the earlier ones
+		reportSequence uint64            // number of the accepted report; zero if none had one
+		late           lateReports       // since the accepted report
 		profileSince   time.Time         // when the incarnation began to report its profile; zero for its first one
 		session        uint64
 		sessionAt      time.Time // when the first response of the session arrived
@@ -194,9 +196,13 @@
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
 		r.adopted, r.awaitsList, r.truncated, r.unexpected = false, false, false, nil
+		r.reportSequence, r.late = w.Sequence, lateReports{}
 		r.worker = &w
 		return true
 	}
+	if w.Sequence > 0 {
+		r.reportSequence = w.Sequence
+	}
 	r.observeClock(clock, now)
 	// A worker drains until its incarnation ends; an older report may arrive late.
 	w.Draining = w.Draining || r.worker.Draining
--- a/poll.go
+++ b/poll.go
@@ -30,6 +30,9 @@
 		Remaining time.Duration `cbor:"8,keyasint,omitempty"`
 		// Address is the host and port at which the worker takes the agent's calls.
 		Address string `cbor:"9,keyasint,omitempty"`
+		// Sequence is the number of the worker's heartbeat, which increases in an incarnation; zero if it has none.
+		// The agent does not pass it on.
+		Sequence uint64 `cbor:"-"`
 	}
 
 	// WorkerProfile is what a worker declares for its whole incarnation and limits the runs that it may get.
--- a/refusal.go
+++ b/refusal.go
@@ -77,6 +77,9 @@
 	// ErrOutdated is returned for an order that its sender may have given up. It was not carried
 	// out and never will be.
 	ErrOutdated = errors.New("the order waited too long, and its sender may have given it up")
+	// ErrLateReport is returned for a report of a worker that was sent before one received earlier. It changes
+	// nothing.
+	ErrLateReport = errors.New("a later report of the worker was received before")
 	// ErrInvalidMessage is returned for a message that cannot be read.
 	ErrInvalidMessage = errors.New("the message is malformed")
 	// ErrWrongGroup is returned for a message to another control group.
