Repeat the pace of a run after two orders on it were in flight

Cause: a spare run gets a pace when its start is confirmed, and a list that arrives before the answer leads to a second order on it. The worker may carry out the second one first. If the answers arrive in the order of sending, the agent goes on from the second pace while the worker keeps the first, and as both were confirmed the pace was not repeated: a spare run worked on beside a serving run over its target, or stayed suspended.

Change: the runner counts the orders on the pace of a run that have no result yet. An answer that arrives while another one is in flight counts as unconfirmed, so the present pace is ordered again each second for 15 s, as after an order without a response. A new incarnation starts with no orders in flight, and a result of an earlier order does not count against it.

--- a/internal/agent/pacer/unconfirmed.go
+++ b/internal/agent/pacer/unconfirmed.go
@@ -8,8 +8,8 @@
 	"github.com/jaygw/jaygw/internal/control/registrar"
 )
 
-// unconfirmed describes orders on the pace of a run that got no response. The worker may carry them out late, after
-// newer ones.
+// unconfirmed describes orders on the pace of a run that got no response, or none before the next order. The worker may
+// carry them out late, after newer ones.
 type unconfirmed struct {
 	until  time.Time // when the last of them counts as lost
 	repeat time.Time // when the present pace is ordered again
@@ -23,8 +23,8 @@
 	repeatInterval = time.Second
 )
 
-// Unconfirmed handles an order on the pace of a run that got no response. The present pace is then ordered again and
-// again for as long as that order may be carried out.
+// Unconfirmed handles an order on the pace of a run that got no response, or one while another order of the run was in
+// flight. The present pace is then ordered again and again for as long as such an order may be carried out.
 func (p *Pacer) Unconfirmed(run jaygw.Run, now time.Time) {
 	p.unconfirmed[run] = unconfirmed{until: now.Add(lateTime), repeat: now.Add(repeatInterval)}
 }
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -38,6 +38,7 @@
 		drops           []Drop // starts of the latest response that were dropped
 		held            bool   // whether a start was held since the last list
 		pacer           *pacer.Pacer
+		pacesInFlight   map[jaygw.Run]int        // orders on the pace of a run that have no result yet
 		settled         map[jaygw.Run]settledEnd // runs whose end the leader has recorded
 		unexpected      []Unexpected             // of the latest list
 		ends            []numberedEnd            // listed ends from the first unrecorded one, ordered by number
@@ -190,7 +191,7 @@
 		for _, state := range r.runs {
 			state.revived = false
 		}
-		r.pacer, r.profileSince = pacer.New(), time.Time{}
+		r.pacer, r.pacesInFlight, r.profileSince = pacer.New(), map[jaygw.Run]int{}, time.Time{}
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
--- a/internal/agent/runner/starts.go
+++ b/internal/agent/runner/starts.go
@@ -147,7 +147,7 @@
 		r.giveUp(id, state, "refused by the worker: "+string(reply.Denied), now)
 	default:
 		state.phase, state.since, state.confirmed = running, now, true
-		return paceActions(r.pacer.DecideNew(r.observations(), now))
+		return r.paceActions(r.pacer.DecideNew(r.observations(), now))
 	}
 	return nil
 }
--- a/internal/agent/runner/worker.go
+++ b/internal/agent/runner/worker.go
@@ -250,7 +250,7 @@
 		present[listedRun.Run] = true
 		report = r.addRunning(listedRun, now) || report
 	}
-	actions = paceActions(r.pacer.Decide(r.observations(), now))
+	actions = r.paceActions(r.pacer.Decide(r.observations(), now))
 	for _, id := range r.sortedRuns() {
 		state := r.runs[id]
 		state.revived = state.revived && present[id]
@@ -296,24 +296,29 @@
 	return observations
 }
 
-func paceActions(paces []pacer.Pace) []Action {
+func (r *Runner) paceActions(paces []pacer.Pace) []Action {
 	var actions []Action
 	for _, pace := range paces {
+		r.pacesInFlight[pace.Run]++
 		actions = append(actions, Action{Pace: &pace})
 	}
 	return actions
 }
 
 // Paced handles the result of a change of pace. Without a response the old pace counts, and
-// the next list leads to a new decision.
+// the next list leads to a new decision. Beside another order in flight, the worker may have carried out
+// the two in the other order, so that the pace is not certain.
 func (r *Runner) Paced(pace pacer.Pace, reply jaygw.WorkerResponse, err error, now time.Time) {
 	r.recordResponse(reply, err, now)
-	switch {
-	case err != nil:
-		r.pacer.Unconfirmed(pace.Run, now)
-	case reply.Denied == "":
+	if r.pacesInFlight[pace.Run]--; r.pacesInFlight[pace.Run] <= 0 {
+		delete(r.pacesInFlight, pace.Run)
+	}
+	if err == nil && reply.Denied == "" {
 		r.pacer.SetPace(pace)
 	}
+	if err != nil || r.pacesInFlight[pace.Run] > 0 {
+		r.pacer.Unconfirmed(pace.Run, now)
+	}
 }
 
 // addEnd adds a listed end and reports whether it is new.
