--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -20,6 +20,8 @@
 		longestLease   time.Duration
 		worker         *jaygw.PoolWorker
 		contradiction  *jaygw.PoolWorker // the last report, if it contradicts the earlier ones
+		reportSequence uint64            // number of the accepted report; zero if none had one
+		late           lateReports       // since the accepted report
 		profileSince   time.Time         // when the incarnation began to report its profile; zero for its first one
 		session        uint64
 		sessionAt      time.Time // when the first response of the session arrived
@@ -36,6 +38,7 @@
 		drops           []Drop // starts of the latest response that were dropped
 		held            bool   // whether a start was held since the last list
 		pacer           *pacer.Pacer
+		pacesInFlight   map[jaygw.Run]int        // orders on the pace of a run that have no result yet
 		settled         map[jaygw.Run]settledEnd // runs whose end the leader has recorded
 		unexpected      []Unexpected             // of the latest list
 		ends            []numberedEnd            // listed ends from the first unrecorded one, ordered by number
@@ -188,15 +191,19 @@
 		for _, state := range r.runs {
 			state.revived = false
 		}
-		r.pacer, r.profileSince = pacer.New(), time.Time{}
+		r.pacer, r.pacesInFlight, r.profileSince = pacer.New(), map[jaygw.Run]int{}, time.Time{}
 		r.ends, r.recordedThrough, r.firstListed, r.session = nil, 0, 0, 0
 		clear(r.sent) // responses to polls of the earlier incarnation order runs that it has lost
 		r.clock, r.clockAt = clock, now
 		r.lastList, r.workerLeaseEnd, r.contact = now, time.Time{}, contact{lastResponse: now}
 		r.adopted, r.awaitsList, r.truncated, r.unexpected = false, false, false, nil
+		r.reportSequence, r.late = w.Sequence, lateReports{}
 		r.worker = &w
 		return true
 	}
+	if w.Sequence > 0 {
+		r.reportSequence = w.Sequence
+	}
 	r.observeClock(clock, now)
 	// A worker drains until its incarnation ends; an older report may arrive late.
 	w.Draining = w.Draining || r.worker.Draining
--- a/refusal.go
+++ b/refusal.go
@@ -80,6 +80,9 @@
 	// ErrOvertaken is returned for a call that was not carried out and never will be, because a call that arrived
 	// later was answered from an older catalog. It may be sent again at once.
 	ErrOvertaken = errors.New("a later call was answered from an older catalog")
+	// ErrLateReport is returned for a report of a worker that was sent before one received earlier. It changes
+	// nothing.
+	ErrLateReport = errors.New("a later report of the worker was received before")
 	// ErrInvalidMessage is returned for a message that cannot be read.
 	ErrInvalidMessage = errors.New("the message is malformed")
 	// ErrWrongGroup is returned for a message to another control group.
