Know tickets of the adviser by the incarnation of their worker

Cause: the leader kept advice by the worker's name. A ticket is valid during one life of the worker only. After a restart under the same id the steps still had a ticket for it, so that no new advice was requested, and starts were granted with the old ticket until its validity ended. The worker denies them.

Change: advice belongs to the incarnation, name and start time, that was asked for. A ticket of another incarnation counts as none, and advice is requested for the new one. If the worker starts again between the request and the response, the new ticket is recorded for the earlier incarnation and asked for once more. The request to the adviser is unchanged.

TestAdvice compares the request as it is sent to the adviser; its checks are the same.

--- a/internal/schedule/allocator/allocator.go
+++ b/internal/schedule/allocator/allocator.go
@@ -30,9 +30,9 @@
 		// image: the drop of their inverse latency (target divided by tail latency) for each
 		// VM's worth of processor time that the spare tasks use.
 		Effect func(spare, serving string) float64
-		// Ticket returns the ticket with which a worker may run a step of an advised
-		// queue, or an empty string if there is none.
-		Ticket func(step jaygw.StepTask, worker string) string
+		// Ticket returns the ticket with which an incarnation of a worker may run a step of an
+		// advised queue, or an empty string if there is none.
+		Ticket func(step jaygw.StepTask, worker jaygw.WorkerIncarnation) string
 	}
 
 	// node is the state of a VM during one decision.
@@ -264,7 +264,7 @@
 	if !p.queue.Advised || d.view.Ticket == nil {
 		return ""
 	}
-	return d.view.Ticket(p.id(), n.Worker.Incarnation.Name)
+	return d.view.Ticket(p.id(), n.Worker.Incarnation)
 }
 
 // id returns the key of the step.
--- a/internal/schedule/orchestrator/advice.go
+++ b/internal/schedule/orchestrator/advice.go
@@ -14,16 +14,23 @@
 	// table guards it.
 	adviceTable struct {
 		steps   map[jaygw.StepTask]*stepAdvice
-		pending []jaygw.StepTask // steps to request advice for, the most urgent first
-		workers []string         // names of the workers in use
-		ready   chan struct{}    // closed and replaced when pending steps are added
+		pending []jaygw.StepTask          // steps to request advice for, the most urgent first
+		workers []jaygw.WorkerIncarnation // workers in use
+		ready   chan struct{}             // closed and replaced when pending steps are added
 	}
 
 	// stepAdvice is the advice for one step.
 	stepAdvice struct {
 		validUntil time.Time
-		tickets    map[string]string // by worker name; an empty ticket forbids the step on the worker
-		retryAt    time.Time         // earliest time of the next request after a failed one
+		tickets    map[jaygw.WorkerIncarnation]string // an empty ticket forbids the step on the worker
+		retryAt    time.Time                          // earliest time of the next request after a failed one
+	}
+
+	// adviceRequest is a request for advice on some incarnations of workers. The adviser knows workers by their
+	// names only.
+	adviceRequest struct {
+		step    jaygw.StepTask
+		workers []jaygw.WorkerIncarnation
 	}
 )
 
@@ -48,8 +55,17 @@
 	return &adviceTable{steps: map[jaygw.StepTask]*stepAdvice{}, ready: make(chan struct{})}
 }
 
-// ticket returns the valid ticket for a step on a worker, or an empty string.
-func (t *adviceTable) ticket(step jaygw.StepTask, worker string, now time.Time) string {
+// toAdviser returns the request as it is sent to the adviser.
+func (r adviceRequest) toAdviser() jaygw.AdviceRequest {
+	request := jaygw.AdviceRequest{Step: r.step}
+	for _, worker := range r.workers {
+		request.Workers = append(request.Workers, worker.Name)
+	}
+	return request
+}
+
+// ticket returns the valid ticket for a step on an incarnation of a worker, or an empty string.
+func (t *adviceTable) ticket(step jaygw.StepTask, worker jaygw.WorkerIncarnation, now time.Time) string {
 	if entry := t.steps[step]; entry != nil && now.Before(entry.validUntil) {
 		return entry.tickets[worker]
 	}
@@ -64,7 +80,7 @@
 		return
 	}
 	for _, vm := range view.VMs {
-		t.workers = append(t.workers, vm.Worker.Incarnation.Name)
+		t.workers = append(t.workers, vm.Worker.Incarnation)
 	}
 	for _, step := range waiting {
 		if t.requiresAdvice(step, now) {
@@ -99,41 +115,41 @@
 
 // unadvisedWorkers returns up to jaygw.MaxAdvisedWorkers workers that the valid advice for a step
 // does not cover.
-func (t *adviceTable) unadvisedWorkers(step jaygw.StepTask, now time.Time) []string {
+func (t *adviceTable) unadvisedWorkers(step jaygw.StepTask, now time.Time) []jaygw.WorkerIncarnation {
 	entry := t.steps[step]
-	var names []string
-	for _, name := range t.workers {
+	var unadvised []jaygw.WorkerIncarnation
+	for _, worker := range t.workers {
 		if entry != nil && now.Before(entry.validUntil) {
-			if _, ok := entry.tickets[name]; ok {
+			if _, ok := entry.tickets[worker]; ok {
 				continue
 			}
 		}
-		if names = append(names, name); len(names) == jaygw.MaxAdvisedWorkers {
+		if unadvised = append(unadvised, worker); len(unadvised) == jaygw.MaxAdvisedWorkers {
 			break
 		}
 	}
-	return names
+	return unadvised
 }
 
 // nextRequest returns the next request for advice and reports whether there is one.
-func (t *adviceTable) nextRequest(now time.Time) (jaygw.AdviceRequest, bool) {
+func (t *adviceTable) nextRequest(now time.Time) (adviceRequest, bool) {
 	for len(t.pending) > 0 {
 		step := t.pending[0]
 		t.pending = t.pending[1:]
-		if names := t.unadvisedWorkers(step, now); len(names) > 0 && t.requiresAdvice(step, now) {
-			return jaygw.AdviceRequest{Step: step, Workers: names}, true
+		if workers := t.unadvisedWorkers(step, now); len(workers) > 0 && t.requiresAdvice(step, now) {
+			return adviceRequest{step: step, workers: workers}, true
 		}
 	}
-	return jaygw.AdviceRequest{}, false
+	return adviceRequest{}, false
 }
 
 // recordResponse stores the response to a request that was sent at sentAt. The validity of the
 // advice counts from that time.
-func (t *adviceTable) recordResponse(request jaygw.AdviceRequest, advice jaygw.Advice, err error, sentAt, now time.Time) {
-	entry := t.steps[request.Step]
+func (t *adviceTable) recordResponse(request adviceRequest, advice jaygw.Advice, err error, sentAt, now time.Time) {
+	entry := t.steps[request.step]
 	if entry == nil || !now.Before(entry.validUntil) {
-		entry = &stepAdvice{tickets: map[string]string{}}
-		t.steps[request.Step] = entry
+		entry = &stepAdvice{tickets: map[jaygw.WorkerIncarnation]string{}}
+		t.steps[request.step] = entry
 	}
 	if err != nil {
 		entry.retryAt = now.Add(adviceRetryDelay)
@@ -143,8 +159,8 @@
 	if len(entry.tickets) == 0 || validUntil.Before(entry.validUntil) {
 		entry.validUntil = validUntil
 	}
-	for _, name := range request.Workers {
-		entry.tickets[name] = advice.Tickets[name]
+	for _, worker := range request.workers {
+		entry.tickets[worker] = advice.Tickets[worker.Name]
 	}
 }
 
@@ -167,13 +183,13 @@
 		}
 		sentAt := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, adviceTimeout)
-		advice, err := adviser.Advise(bounded, request)
+		advice, err := adviser.Advise(bounded, request.toAdviser())
 		cancel()
 		o.mu.Lock()
 		o.advice.recordResponse(request, advice, err, sentAt, time.Now())
 		o.mu.Unlock()
 		o.log.WithFields(logrus.Fields{
-			"step": request.Step.String(), "workers": len(request.Workers), "approved": len(advice.Tickets), "unreadable": advice.Unreadable,
+			"step": request.step.String(), "workers": len(request.workers), "approved": len(advice.Tickets), "unreadable": advice.Unreadable,
 			"took": time.Since(sentAt).String(), "error": err,
 		}).Info("scheduler: advice")
 		o.notifyChange("")
--- a/internal/schedule/orchestrator/advice_test.go
+++ b/internal/schedule/orchestrator/advice_test.go
@@ -29,7 +29,7 @@
 
 	request, ok := h.table.advice.nextRequest(h.now)
 	require.True(t, ok)
-	require.Equal(t, jaygw.AdviceRequest{Step: jaygw.StepTask{Workflow: "x"}, Workers: []string{"a", "b"}}, request)
+	require.Equal(t, jaygw.AdviceRequest{Step: jaygw.StepTask{Workflow: "x"}, Workers: []string{"a", "b"}}, request.toAdviser())
 	h.table.advice.recordResponse(request, jaygw.Advice{}, errors.New("too many calls"), h.now, h.now)
 	h.decide()
 	_, ok = h.table.advice.nextRequest(h.now)
@@ -54,5 +54,5 @@
 	}
 	require.Equal(t, map[string]int{"b": 3}, started)
 	h.now = sentAt.Add(2 * time.Second)
-	require.Empty(t, h.table.advice.ticket(jaygw.StepTask{Workflow: "x"}, "b", h.now), "the validity counts from the time of the request")
+	require.Empty(t, h.table.advice.ticket(jaygw.StepTask{Workflow: "x"}, jaygw.WorkerIncarnation{Name: "b"}, h.now), "the validity counts from the time of the request")
 }
--- a/internal/schedule/orchestrator/vmtable.go
+++ b/internal/schedule/orchestrator/vmtable.go
@@ -259,7 +259,9 @@
 	}
 	view := allocator.View{
 		Catalog: state.Catalog(), Workflows: state.Active(), VMs: t.usableVMs(state, out, now), Effect: t.images.Effect,
-		Ticket: func(step jaygw.StepTask, worker string) string { return t.advice.ticket(step, worker, now) },
+		Ticket: func(step jaygw.StepTask, worker jaygw.WorkerIncarnation) string {
+			return t.advice.ticket(step, worker, now)
+		},
 	}
 	t.advice.updatePending(view, now)
 	if grants := allocator.Decide(view, wall); len(grants) > 0 {
