Refuse a withdrawal once its failure domain has returned

Cause: the leader withdraws runs that were granted in a failure domain that is out and whose agent has not reported them. The stop may be committed up to 2 s after the decision. If the domain returns meanwhile, the agent starts the run, and the stop then ended a run at work: registrar.StopRuns checked only that the run was still placed. Work is lost, and a step with max-unavailable may lose more tasks at once than it allows.

Change: a stop of a withdrawal names the failure domain in an optional field, and is refused if the domain is not out when it is committed. That depends on the replicated state alone. Stops for other reasons and entries of earlier builds name no domain and keep their meaning. A refused stop is logged as "scheduler: stop refused" and is no longer counted as a move. Replicas of earlier builds ignore the field: while builds are mixed, replicas may differ on whether such a run is to be stopped, until it ends.

Measured: before the change, TestWithdrawalCommittedAfterDomainReturned failed with a stop of the run at work ("Should be empty, but was [{x.0.0.0 1}]"). It passes now. TestStopAfterDomainReturned fails in its case "domain returned" if the check is left out, and passes with it.

--- a/command.go
+++ b/command.go
@@ -102,6 +102,9 @@
 		Run    Run    `cbor:"1,keyasint"`
 		VM     string `cbor:"2,keyasint"`
 		Reason string `cbor:"3,keyasint,omitempty"`
+		// OutDomain is the failure domain for which the run is withdrawn: the stop is refused if the domain is not
+		// out when it is committed. Empty for other reasons, and in entries of earlier builds.
+		OutDomain string `cbor:"4,keyasint,omitempty"`
 	}
 
 	// StopRuns makes agents stop runs. A task waits again once the end of its run is
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -122,17 +122,24 @@
 	}
 }
 
-// StopRuns marks runs to be stopped by their agents. Runs that have already ended are skipped.
+// StopRuns marks runs to be stopped by their agents. Runs that have already ended are skipped. The results say
+// which stops are refused because the failure domain has returned: the agent may have started the run since.
 func (r *Registrar) StopRuns(stop jaygw.StopRuns) jaygw.Result {
-	for _, s := range stop.Stops {
-		if p := r.FindPlacement(s.VM, s.Run); p != nil && !p.Stopping {
+	results := make([]jaygw.ItemResult, len(stop.Stops))
+	for i, s := range stop.Stops {
+		p := r.FindPlacement(s.VM, s.Run)
+		switch {
+		case p == nil || p.Stopping:
+		case s.OutDomain != "" && !r.domainOut(s.OutDomain):
+			results[i] = jaygw.ItemResult{Code: jaygw.RefusedState, Detail: "the failure domain is not out"}
+		default:
 			next := *p
 			next.Stopping = true
 			r.addPlaced(&next)
 			r.onChange(s.VM)
 		}
 	}
-	return jaygw.Result{}
+	return jaygw.Result{Results: results}
 }
 
 // EndRuns records the ends of runs on one VM. The results say which ends had no effect on their
--- a/internal/schedule/orchestrator/progress.go
+++ b/internal/schedule/orchestrator/progress.go
@@ -128,7 +128,7 @@
 		}
 		state.ForEachPlacement(name, func(p *registrar.Placement) {
 			if _, reported := vm.reported[p.Run]; !reported && !p.Stopping {
-				withdrawn = append(withdrawn, jaygw.StoppedRun{Run: p.Run, VM: name, Reason: "the failure domain is out"})
+				withdrawn = append(withdrawn, jaygw.StoppedRun{Run: p.Run, VM: name, Reason: "the failure domain is out", OutDomain: session.Domain})
 			}
 		})
 	}
--- a/internal/schedule/orchestrator/report.go
+++ b/internal/schedule/orchestrator/report.go
@@ -75,12 +75,7 @@
 	case command.StartRuns != nil:
 		o.reportStarts(*command.StartRuns, result, from)
 	case command.StopRuns != nil:
-		o.addToCounter("scheduler.moves", len(command.StopRuns.Stops))
-		for _, s := range command.StopRuns.Stops {
-			o.log.WithFields(logrus.Fields{
-				"task": s.Run.Task.String(), "run": s.Run.Number, "vm": s.VM, "reason": s.Reason, "index": result.Index,
-			}).Info("scheduler: run moves")
-		}
+		o.reportStops(*command.StopRuns, result, from)
 	case command.LearnEffects != nil:
 		o.log.WithFields(logrus.Fields{
 			"pairs": len(command.LearnEffects.Estimates), "index": result.Index,
@@ -91,7 +86,7 @@
 			"count": len(ids), "workflows": strings.Join(ids[:min(len(ids), maxLoggedTasks)], " "), "index": result.Index,
 		}).Info("scheduler: workflows begun")
 	case command.EndRuns != nil:
-		o.addToCounter("scheduler.leases-over", 1)
+		o.incrementCounter("scheduler.leases-over")
 		o.log.WithFields(logrus.Fields{
 			"vm": command.EndRuns.VM, "runs": len(command.EndRuns.Ended), "index": result.Index, "took": time.Since(from.at).String(),
 		}).Warn("scheduler: the lease of a VM is over, its runs are free")
@@ -124,13 +119,13 @@
 			break // the outcome is unknown
 		}
 		if refused := result.Results[i]; refused.Code != "" {
-			o.addToCounter("scheduler.grants-refused", 1)
+			o.incrementCounter("scheduler.grants-refused")
 			o.log.WithFields(from.fields()).WithFields(logrus.Fields{
 				"task": g.Run.Task.String(), "run": g.Run.Number, "vm": g.VM, "index": result.Index, "reason": refused.Detail,
 			}).Warn("scheduler: grant refused")
 			continue
 		}
-		o.addToCounter("scheduler.grants", 1)
+		o.incrementCounter("scheduler.grants")
 		key := g.Run.Task
 		key.Index = 0
 		step := steps[key]
@@ -158,7 +153,7 @@
 	if !o.leading.Load() {
 		return // only the leader reports it
 	}
-	o.addToCounter("workflows."+string(w.State), 1)
+	o.incrementCounter("workflows." + string(w.State))
 	metrics.GetOrRegisterTimer("workflows.time", o.registry).Update(now.Sub(w.Accepted))
 	var runs, failures int
 	var steps []string
@@ -178,6 +173,22 @@
 	}).Info("scheduler: workflow ended")
 }
 
-func (o *Orchestrator) addToCounter(counter string, count int) {
-	metrics.GetOrRegisterCounter(counter, o.registry).Inc(int64(count))
+// reportStops counts the runs to stop and logs one line for each.
+func (o *Orchestrator) reportStops(stop jaygw.StopRuns, result jaygw.Result, from origin) {
+	for i, s := range stop.Stops {
+		fields := logrus.Fields{
+			"task": s.Run.Task.String(), "run": s.Run.Number, "vm": s.VM, "reason": s.Reason, "index": result.Index,
+		}
+		if i < len(result.Results) && result.Results[i].Code != "" {
+			fields["refused"] = result.Results[i].Detail
+			o.log.WithFields(from.fields()).WithFields(fields).Info("scheduler: stop refused")
+			continue
+		}
+		o.incrementCounter("scheduler.moves")
+		o.log.WithFields(fields).Info("scheduler: run moves")
+	}
+}
+
+func (o *Orchestrator) incrementCounter(counter string) {
+	metrics.GetOrRegisterCounter(counter, o.registry).Inc(1)
 }
