--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,7 +21,8 @@
 const playTime = 112 * time.Second
 
 var scenarios = map[string]scenario{
-	"zone": playZone,
+	"zone":    playZone,
+	"configs": playConfigs,
 }
 
 func main() {
