--- a/review/standin-2/jobs.go
+++ b/review/standin-2/jobs.go
@@ -24,6 +24,7 @@
 		LongRunning bool   `json:"long-running,omitempty"`
 		Fills       bool   `json:"fills,omitempty"`
 		Image       string `json:"image,omitempty"`
+		Label       string `json:"requirements,omitempty"`
 	}
 
 	// registry holds the submitted jobs and what workers have run of them.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 
 var scenarios = map[string]scenario{
 	"zone":    playZone,
+	"large":   playLarge,
 	"fills":   playFills,
 	"configs": playConfigs,
 }
