--- a/review/standin-2/large.go
+++ b/review/standin-2/large.go
@@ -13,6 +13,7 @@
 	largeCount         = 1200
 	specificationBytes = 4000
 	freezeTime         = 2 * time.Second
+	siteWorkers        = 11
 
 	// onlyRack is a label that one worker has.
 	onlyRack = "r1-1"
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for i := range 4 {
+	for i := range siteWorkers {
 		if _, err := e.addWorker(fmt.Sprintf("worker-%d", 1+i), e.zones[i%3], fmt.Sprintf("r1-%d", 1+i), capacity{32000, 125000}); err != nil {
 			return nil, err
 		}
