--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -23,6 +23,9 @@
 
 	callTime = 3 * time.Second // a client's time budget
 
+	// formationTime is how long a new deployment may take until it acknowledges a config.
+	formationTime = 20 * time.Second
+
 	configBody = `{"version":%d,"routes":[{"name":"r-wrr6x73","host":"` + hostName + `","path-prefix":"` + jobPrefix + `","kind":"non_idempotent",` +
 		`"timeout-ms":3000,"target-latency-ms":1000,"priority":0,"service":"` + serviceName + `","max-attempts":4,"stretch":2.0}],` +
 		`"services":[{"name":"` + serviceName + `","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"cold-start-s":0.0,` +
@@ -59,11 +62,11 @@
 	return status, answer
 }
 
-// putConfig sends a config to operators' addresses in turn until it is acknowledged.
-func (c *caller) putConfig(ctx context.Context, version int, addresses []string, limit time.Duration) error {
+// putConfig sends the first config to operators' addresses in turn until it is acknowledged.
+func (c *caller) putConfig(ctx context.Context, addresses []string) error {
 	turn := 0
-	return await(ctx, "the config is acknowledged", limit, func() bool {
-		status, _ := c.call(ctx, http.MethodPost, addresses[turn%len(addresses)], "/jaygw/configuration/replace", fmt.Sprintf(configBody, version))
+	return await(ctx, "the config is acknowledged", formationTime, func() bool {
+		status, _ := c.call(ctx, http.MethodPost, addresses[turn%len(addresses)], "/jaygw/configuration/replace", fmt.Sprintf(configBody, 1))
 		turn++
 		return status == http.StatusOK
 	})
@@ -99,10 +102,10 @@
 	})
 }
 
-// state asks entries in turn for the state of a job until one answers, for a time.
-func (c *caller) state(ctx context.Context, id string, entries []string, limit time.Duration) (string, error) {
+// state asks entries in turn for the state of a job until one answers, for as long as a client waits.
+func (c *caller) state(ctx context.Context, id string, entries []string) (string, error) {
 	turn, state := 0, ""
-	err := await(ctx, "the state of job "+id, limit, func() bool {
+	err := await(ctx, "the state of job "+id, callTime, func() bool {
 		status, body := c.call(ctx, http.MethodGet, entries[turn%len(entries)], jobPrefix+id, "")
 		turn++
 		var answer struct {
--- a/review/standin-2/configs.go
+++ b/review/standin-2/configs.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := e.caller.putConfig(ctx, 1, operators, 20*time.Second); err != nil {
+	if err := e.caller.putConfig(ctx, operators); err != nil {
 		return nil, err
 	}
 	routes := 1
--- a/review/standin-2/estate.go
+++ b/review/standin-2/estate.go
@@ -267,17 +267,17 @@
 }
 
 // addWorker adds a worker and the agent beside it on a new VM.
-func (e *estate) addWorker(name, zone, rack string, size capacity) (*worker, error) {
+func (e *estate) addWorker(name, zone, rack string, size capacity) error {
 	v := e.newVM(name, zone, false)
 	v.worker = v.address(appPort)
 	w := newWorker(e.rec, e.jobs, name, zone, rack, v.worker, v.address(controlPort), size)
 	if err := w.listen(); err != nil {
-		return nil, err
+		return err
 	}
 	e.mu.Lock()
 	e.workers = append(e.workers, w)
 	e.mu.Unlock()
 	agent, err := e.start("agent", v, true)
 	w.agent = agent
-	return w, err
+	return err
 }
--- a/review/standin-2/fills.go
+++ b/review/standin-2/fills.go
@@ -27,11 +27,11 @@
 		return nil, err
 	}
 	for i := range workers {
-		if _, err := e.addWorker(fmt.Sprintf("worker-%d", 1+i), e.zones[i%3], fmt.Sprintf("r1-%d", 1+i/3), capacity{16000, 62500}); err != nil {
+		if err := e.addWorker(fmt.Sprintf("worker-%d", 1+i), e.zones[i%3], fmt.Sprintf("r1-%d", 1+i/3), capacity{16000, 62500}); err != nil {
 			return nil, err
 		}
 	}
-	if err := e.caller.putConfig(ctx, 1, operators, 20*time.Second); err != nil {
+	if err := e.caller.putConfig(ctx, operators); err != nil {
 		return nil, err
 	}
 	feed := jobSpec{Specification: "plate feed", Steps: []stepSpec{
@@ -82,7 +82,7 @@
 			broken = append(broken, fmt.Sprintf("LOST: the lasting task %s has not run for %s, although it takes only memory, of which there is plenty", task, idle))
 		}
 	}
-	state, err := e.caller.state(ctx, feedJob, entries, callTime)
+	state, err := e.caller.state(ctx, feedJob, entries)
 	e.rec.line("state of the lasting job: %s %v", state, err)
 	return broken, nil
 }
--- a/review/standin-2/large.go
+++ b/review/standin-2/large.go
@@ -27,11 +27,11 @@
 		return nil, err
 	}
 	for i := range siteWorkers {
-		if _, err := e.addWorker(fmt.Sprintf("worker-%d", 1+i), e.zones[i%3], fmt.Sprintf("r1-%d", 1+i), capacity{32000, 125000}); err != nil {
+		if err := e.addWorker(fmt.Sprintf("worker-%d", 1+i), e.zones[i%3], fmt.Sprintf("r1-%d", 1+i), capacity{32000, 125000}); err != nil {
 			return nil, err
 		}
 	}
-	if err := e.caller.putConfig(ctx, 1, operators, 20*time.Second); err != nil {
+	if err := e.caller.putConfig(ctx, operators); err != nil {
 		return nil, err
 	}
 	if err := playJob(ctx, e, "00000000000000a0", entries); err != nil {
@@ -71,7 +71,7 @@
 	e.rec.line("-- finish_s after the end of the traffic: the jobs are asked for")
 	var broken []string
 	for _, id := range []string{largeJob, laterJob} {
-		state, err := e.caller.state(ctx, id, entries, callTime)
+		state, err := e.caller.state(ctx, id, entries)
 		switch idle := e.jobs.idleTime(id); {
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
--- a/review/standin-2/zone.go
+++ b/review/standin-2/zone.go
@@ -23,11 +23,11 @@
 	}
 	for i := range 6 {
 		zone := e.zones[i%3]
-		if _, err := e.addWorker(fmt.Sprintf("worker-%s-%d", zone, 1+i/3), zone, fmt.Sprintf("r1-%d", 1+i/3), capacity{16000, 62500}); err != nil {
+		if err := e.addWorker(fmt.Sprintf("worker-%s-%d", zone, 1+i/3), zone, fmt.Sprintf("r1-%d", 1+i/3), capacity{16000, 62500}); err != nil {
 			return nil, err
 		}
 	}
-	if err := e.caller.putConfig(ctx, 1, operators, 20*time.Second); err != nil {
+	if err := e.caller.putConfig(ctx, operators); err != nil {
 		return nil, err
 	}
 	if err := playJob(ctx, e, "00000000000000a0", entries); err != nil {
@@ -87,7 +87,7 @@
 	e.rec.line("-- finish_s after the end of the traffic: the jobs are asked for")
 	var broken []string
 	for _, id := range jobs {
-		state, err := e.caller.state(ctx, id, entries[1:], callTime)
+		state, err := e.caller.state(ctx, id, entries[1:])
 		switch idle := e.jobs.idleTime(id); {
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
@@ -108,7 +108,7 @@
 		return err
 	}
 	return await(ctx, "job "+id+" is completed", 20*time.Second, func() bool {
-		state, err := e.caller.state(ctx, id, entries, callTime)
+		state, err := e.caller.state(ctx, id, entries)
 		return err == nil && state == "completed"
 	})
 }
