Bound the log in memory by the memory of the process

What callers saw: clients that send large requests one after the other, also ones that are refused as invalid, drive all control processes over their memory, and no entry has a leader any more.

Cause: the log in memory had fixed sizes. All that is above the memory of a small VM, whatever "memory" in the settings says.

As much is retained, and files are no larger. From 561 MB of memory on, all is as before.

--- a/internal/control/coordinator/apply.go
+++ b/internal/control/coordinator/apply.go
@@ -133,7 +133,7 @@
 // startSnapshot starts writing a snapshot once enough entries were applied since the last one.
 // It copies the state and encodes the copy in the background.
 func (r *Replica) startSnapshot() {
-	if r.savingSnapshot || r.applied < r.nextSnapshot && r.logBytes < snapshotBytes {
+	if r.savingSnapshot || r.applied < r.nextSnapshot && r.logBytes < r.snapshotBytes {
 		return
 	}
 	r.savingSnapshot, r.logBytes = true, 0
--- a/internal/control/coordinator/options.go
+++ b/internal/control/coordinator/options.go
@@ -51,6 +51,7 @@
 	retainedEntries       = 2000                            // before a snapshot, for replicas that are behind
 	snapshotEntries       = 10_000                          // entries between snapshots
 	snapshotBytes         = 32 << 20                        // entry data that causes an earlier snapshot
+	maxSegmentBytes       = 8 << 20                         // of a file of the log
 	snapshotRetryEntries  = 1000                            // until the next attempt after a failed snapshot
 	forwardTimeout        = 4 * time.Second                 // of a proposal sent to the leader
 )
@@ -75,3 +76,13 @@
 func WithSnapshotEntries(entries, retained uint64) Option {
 	return func(r *Replica) { r.snapshotEntries, r.retained = entries, retained }
 }
+
+// WithLogBytes sets the size of the entries that cause a snapshot, and of those before a snapshot that are retained in memory.
+// Zero stands for the default.
+func WithLogBytes(bytes int64) Option {
+	return func(r *Replica) {
+		if bytes > 0 {
+			r.snapshotBytes = int(bytes)
+		}
+	}
+}
--- a/internal/control/coordinator/replica.go
+++ b/internal/control/coordinator/replica.go
@@ -30,12 +30,14 @@
 		disk            journaler.Disk
 		snapshotEntries uint64
 		retained        uint64
+		snapshotBytes   int // entry data that causes a snapshot before snapshotEntries do, and that is retained
 
 		inputs    chan event
 		done      chan struct{} // closed when Run ends
 		stopping  chan struct{} // closed when the context of Run ends
 		diskSpace *diskSpace
 		lastID    atomic.Uint64 // id of the last proposal or read
+		logMemory atomic.Int64  // estimated size of the log in memory
 		start     time.Time     // origin of the core's clock
 		rejoining atomic.Bool   // a request to join through a leader is running
 
@@ -113,6 +115,7 @@
 		registry:        metrics.NewRegistry(),
 		snapshotEntries: snapshotEntries,
 		retained:        retainedEntries,
+		snapshotBytes:   snapshotBytes,
 		inputs:          make(chan event, inputQueueSize),
 		done:            make(chan struct{}),
 		stopping:        make(chan struct{}),
@@ -145,7 +148,7 @@
 	}
 	var recovered replicator.RecoveredState
 	r.journal, recovered, err = journaler.Open(r.disk, r.settings.Folder, r.settings.Group, r.settings.Self.ID,
-		journaler.WithDiskFullHook(r.awaitDiskSpace))
+		journaler.WithDiskFullHook(r.awaitDiskSpace), journaler.WithSegmentBytes(int64(min(r.snapshotBytes, maxSegmentBytes))))
 	if err != nil {
 		return err
 	}
@@ -171,6 +174,7 @@
 	r.core = replicator.New(replicator.Config{
 		ID: r.settings.Self.ID, Bootstrap: members, Seed: rand.Uint64(),
 		Heartbeat: replicator.DefaultHeartbeat, Election: replicator.DefaultElection, RetainedEntries: r.retained,
+		RetainedBytes:           min(r.snapshotBytes, replicator.DefaultRetainedBytes),
 		RemoveUnresponsiveAfter: r.settings.RemoveUnresponsiveAfter, ToleratedLosses: r.settings.Tolerated,
 	}, recovered)
 	r.updateStatus()
@@ -292,6 +296,7 @@
 	if err := r.apply(out); err != nil {
 		return err
 	}
+	r.logMemory.Store(int64(r.core.LogBytes()))
 	r.updateLeadership()
 	r.completeReads(out)
 	r.startSnapshot()
@@ -353,6 +358,9 @@
 	read(r.machine)
 }
 
+// LogBytes returns the estimated size of the log in memory.
+func (r *Replica) LogBytes() int64 { return r.logMemory.Load() }
+
 // Status returns the status of the replica. Its Members must not be modified. While the disk is
 // full, the status names no leader, since another replica may have become the leader.
 func (r *Replica) Status() jaygw.ReplicaStatus {
--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -56,6 +56,9 @@
 
 // New returns the core of a replica that continues from the recovered state.
 func New(c Config, recovered RecoveredState) *Core {
+	if c.RetainedBytes == 0 {
+		c.RetainedBytes = DefaultRetainedBytes
+	}
 	if c.Chunk == 0 {
 		c.Chunk = chunkBytes
 	}
@@ -92,6 +95,9 @@
 // Last returns the index and the term of the last entry of the log.
 func (c *Core) Last() (index, term uint64) { return c.log.last(), c.log.lastTerm() }
 
+// LogBytes returns the estimated size of the log in memory.
+func (c *Core) LogBytes() int { return c.log.bytes }
+
 // VoteState returns the present voting state.
 func (c *Core) VoteState() VoteState { return c.voteState }
 
@@ -152,7 +158,7 @@
 	case in.Read != 0:
 		c.requestRead(in.Read)
 	case in.Compacted != nil:
-		c.log.compact(*in.Compacted, c.config.RetainedEntries)
+		c.log.compact(*in.Compacted, c.config.RetainedEntries, c.config.RetainedBytes)
 	case in.TransferLeadership:
 		c.transferLeadership()
 	}
--- a/internal/control/replicator/log.go
+++ b/internal/control/replicator/log.go
@@ -16,6 +16,7 @@
 		entries     []Entry
 		memberships []membership // by index; the first is the one at the snapshot
 		hasCommand  bool         // an entry with a command has been in the log
+		bytes       int          // estimated size of the entries
 	}
 
 	// membership is the list of members that is in force from an index on.
@@ -39,6 +40,7 @@
 	for _, e := range l.entries {
 		l.recordMembership(e)
 	}
+	l.bytes = entryBytes(l.entries)
 	return l
 }
 
@@ -86,13 +88,24 @@
 // truncateAndAppend appends an entry after it has removed the entry with the same index and
 // all later ones.
 func (l *memoryLog) truncateAndAppend(e Entry) {
+	l.bytes -= entryBytes(l.entries[e.Index-l.base-1:])
 	l.entries = append(l.entries[:e.Index-l.base-1], e)
+	l.bytes += len(e.Data) + entryOverhead
 	for l.memberships[len(l.memberships)-1].index >= e.Index && len(l.memberships) > 1 {
 		l.memberships = l.memberships[:len(l.memberships)-1]
 	}
 	l.recordMembership(e)
 }
 
+// entryBytes estimates the size of entries in memory.
+func entryBytes(entries []Entry) int {
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Data) + entryOverhead
+	}
+	return bytes
+}
+
 func (l *memoryLog) membership() membership { return l.memberships[len(l.memberships)-1] }
 
 // meta returns the description of a snapshot up to an index.
@@ -110,8 +123,8 @@
 	return m
 }
 
-// compact drops the entries that a snapshot covers, except for the last retained ones.
-func (l *memoryLog) compact(meta SnapshotMeta, retained uint64) {
+// compact drops the entries that a snapshot covers, except for the last retained ones of about retainedBytes.
+func (l *memoryLog) compact(meta SnapshotMeta, retained uint64, retainedBytes int) {
 	if meta.Index <= l.snapshot.Index {
 		return
 	}
@@ -120,7 +133,7 @@
 	l.memberships = append([]membership{{index: meta.Index, members: meta.Members}}, later...)
 
 	base, bytes := meta.Index, 0
-	for base > l.base && meta.Index-base < retained && bytes < maxRetainedBytes {
+	for base > l.base && meta.Index-base < retained && bytes < retainedBytes {
 		bytes += len(l.entries[base-l.base-1].Data) + entryOverhead
 		base--
 	}
@@ -128,6 +141,7 @@
 		term, _ := l.term(base)
 		l.entries = slices.Clone(l.entries[base-l.base:])
 		l.base, l.baseTerm = base, term
+		l.bytes = entryBytes(l.entries)
 	}
 }
 
--- a/internal/control/replicator/types.go
+++ b/internal/control/replicator/types.go
@@ -151,6 +151,7 @@
 		Heartbeat       time.Duration  // interval between two heartbeats of a leader
 		Election        time.Duration  // minimum time without a leader before an election
 		RetainedEntries uint64         // compacted entries retained in memory for lagging replicas
+		RetainedBytes   int            // estimated size of these entries; zero for the default
 		Chunk           uint64         // bytes of a snapshot per message; zero for the default
 		// RemoveUnresponsiveAfter is the time without contact after which a member is removed while enough
 		// voters remain; zero disables removal. A removed replica has to join again. Unless it is zero,
@@ -224,6 +225,9 @@
 	// without a leader.
 	DefaultElection = 450 * time.Millisecond
 
+	// DefaultRetainedBytes is the default of Config.RetainedBytes.
+	DefaultRetainedBytes = 16 << 20
+
 	// MaxEntryBytes is the maximum size of a command in bytes.
 	MaxEntryBytes = 2 << 20
 
@@ -231,9 +235,8 @@
 	maxInFlightBytes = 8 << 20 // bytes sent to one member without a response
 	chunkBytes       = 256 << 10
 	maxSnapshotBytes = 1 << 30
-	maxQueuedReads   = 1 << 16  // reads that wait for a confirmation
-	maxRetainedBytes = 16 << 20 // compacted entries retained in memory
-	entryOverhead    = 64       // estimated bytes of an entry besides its data
+	maxQueuedReads   = 1 << 16 // reads that wait for a confirmation
+	entryOverhead    = 64      // estimated bytes of an entry besides its data
 
 	// resendHeartbeats is the time without a response, in heartbeats, after which entries
 	// or a chunk are sent again.
--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -43,6 +43,7 @@
 		client    *client.Client
 		group     *errgroup.Group
 		limiter   *limiter.Limiter
+		limits    limiter.Limits
 
 		// workCtx is canceled by stopWork once the requests in flight have ended.
 		workCtx  context.Context
@@ -124,10 +125,10 @@
 	n.log.WithFields(logrus.Fields{
 		"role": string(role), "name": n.settings.Name, "seeds": n.settings.Seeds, "first-start": n.settings.FirstStart,
 	}).Info("node: started")
-	limits := limiter.LimitsFor(n.settings, role)
-	n.limiter = limiter.New(limits, n.log, n.registry)
-	if limits.ProcessMemory > 0 {
-		debug.SetMemoryLimit(limits.ProcessMemory)
+	n.limits = limiter.LimitsFor(n.settings, role)
+	n.limiter = limiter.New(n.limits, n.log, n.registry)
+	if n.limits.ProcessMemory > 0 {
+		debug.SetMemoryLimit(n.limits.ProcessMemory)
 	}
 	err := n.serveMetrics()
 	if err != nil {
--- a/internal/wire/limiter/limits.go
+++ b/internal/wire/limiter/limits.go
@@ -12,6 +12,8 @@
 	ProbeConnections int
 	// ProcessMemory is the limit for the garbage collector.
 	ProcessMemory int64
+	// Log bounds the entries of the log of the control state between two snapshots.
+	Log int64
 }
 
 const (
@@ -34,6 +36,10 @@
 	probeShare       = 32
 	leastConnections = 32
 
+	// logShare is the share of the free memory of a control process for the log, which has from leastLogBytes to mostLogBytes.
+	logShare                    = 16
+	leastLogBytes, mostLogBytes = 2 << 20, 32 << 20
+
 	// leastBytes lets one large body be served at a time on the smallest VM.
 	leastBytes = 2 << 20
 )
@@ -50,6 +56,9 @@
 		}
 		limits.Bytes = max(leastBytes, free/share)
 		limits.Connections = int(max(leastConnections, free/4/connectionMemory))
+		if role == jaygw.RoleControl {
+			limits.Log = min(max(free/logShare, leastLogBytes), mostLogBytes)
+		}
 		limits.ProcessMemory = int64(max(settings.Memory/2, settings.Memory-collectorReserve)) * 9 / 10
 	}
 	probes := probeConnections
