Bound the bytes of workflows in the control state

What callers saw: clients that send complete, valid jobs of legal size end all control processes at once, which run out of memory; after a restart they read the same state back. Nothing is answered any more.

Cause: the registrar bounds the number of workflows and of cancels, and not their bytes.

Change: the registrar estimates the bytes. Large requests leave a quarter to small ones. Ended workflows are reduced to their id and state after 10 s. A resend is acknowledged without its content. apply decides as before.

The simulations of the orchestrator read the steps of ended workflows from the state; they now keep those that were submitted, and check the same.

--- a/internal/control/applier/state.go
+++ b/internal/control/applier/state.go
@@ -73,7 +73,7 @@
 		Clients:      maps.Clone(s.Clients),
 		Registry:     m.registrar.Snapshot(),
 	}
-	return func() ([]byte, error) { return encoder.Marshal(snapshot) }
+	return func() ([]byte, error) { return encoder.MarshalLarge(snapshot) }
 }
 
 // Restore replaces the state with that of a snapshot and resets the observers. On an error the
--- a/internal/control/registrar/cancels.go
+++ b/internal/control/registrar/cancels.go
@@ -27,16 +27,26 @@
 		return &full
 	}
 	r.canceled[key] = true
+	r.bytes += CancelBytes(key.host, key.path)
 	r.state.Canceled = append(r.state.Canceled, UnknownCancel{Host: key.host, Path: key.path, At: now})
 	return nil
 }
 
-// removeOldCancels removes the cancels of unknown workflows that are older than the retention time.
-func (r *Registrar) removeOldCancels(now jaygw.Time) {
+// expiredCancels returns how many cancels of unknown workflows, from the oldest one, are older than the retention time.
+func (r *Registrar) expiredCancels(now jaygw.Time) int {
 	old := 0
 	for old < len(r.state.Canceled) && r.state.Canceled[old].At.Add(retention) <= now {
-		delete(r.canceled, r.state.Canceled[old].key())
 		old++
 	}
+	return old
+}
+
+// removeOldCancels removes the cancels of unknown workflows that are older than the retention time.
+func (r *Registrar) removeOldCancels(now jaygw.Time) {
+	old := r.expiredCancels(now)
+	for _, c := range r.state.Canceled[:old] {
+		delete(r.canceled, c.key())
+		r.bytes -= CancelBytes(c.Host, c.Path)
+	}
 	r.state.Canceled = r.state.Canceled[old:]
 }
--- a/internal/control/registrar/commands.go
+++ b/internal/control/registrar/commands.go
@@ -308,14 +308,15 @@
 }
 
 // removeOldWorkflows removes workflows that ended longer ago than the retention time, in the order
-// in which they ended. It stops at the first one that is still retained or still has placed runs.
+// in which they ended.
 func (r *Registrar) removeOldWorkflows(now jaygw.Time) {
-	for len(r.state.Finished) > 0 {
-		w := r.state.Workflows[r.state.Finished[0]]
-		if w != nil && (w.Finished.Add(retention) > now || w.Runs > 0) {
-			return
+	expired := r.expiredWorkflows(now)
+	for _, id := range r.state.Finished[:expired] {
+		if w := r.state.Workflows[id]; w != nil {
+			r.bytes -= w.bytes
+			delete(r.state.Workflows, id)
 		}
-		delete(r.state.Workflows, r.state.Finished[0])
-		r.state.Finished = r.state.Finished[1:]
 	}
+	r.state.Finished = r.state.Finished[expired:]
+	r.reduced = max(0, r.reduced-expired)
 }
--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -22,6 +22,8 @@
 		changes  map[string]uint64    // numbers of the latest changes of queues, by changeKey
 		// longestChange is at least the length of the longest key of changes.
 		longestChange int
+		bytes         int64                       // estimated memory of the workflows and of the cancels of unknown ones
+		reduced       int                         // number of workflows in state.Finished that have been reduced, from the first one
 		active        []*Workflow                 // workflows that have not ended, in the order of acceptance
 		onChange      func(vm string)             // called after a change, see Notify
 		onEnd         func(*Workflow, jaygw.Time) // called with each workflow that has ended
@@ -64,6 +66,8 @@
 		Idle        jaygw.Time    // time of the acceptance, or of the end of the latest run
 		// Granted is set once a run has been granted, also if no worker has begun it.
 		Granted bool `cbor:",omitempty"`
+
+		bytes int64 // as in Registrar.bytes
 	}
 
 	// Occurrence is one repetition of the steps.
@@ -147,7 +151,7 @@
 
 // DefaultLimits returns limits with a margin of two over the target size.
 func DefaultLimits() Limits {
-	return Limits{Workflows: 50_000, Canceled: 20_000, Tasks: 20_000, Sessions: 5_000, Effects: 20_000, RemovedQueues: 5_000}
+	return Limits{Workflows: 50_000, Canceled: 20_000, Tasks: jaygw.MaxWorkflowTasks, Sessions: 5_000, Effects: 20_000, RemovedQueues: 5_000}
 }
 
 // New returns a registrar without workflows. The function domainOut reports whether a failure
@@ -279,6 +283,7 @@
 	r.canceled = map[canceledKey]bool{}
 	r.changes = map[string]uint64{}
 	r.active = nil
+	r.bytes, r.reduced = 0, 0
 	if state == nil {
 		return
 	}
@@ -286,6 +291,7 @@
 	r.state.Finished, r.state.Order, r.state.Canceled = state.Finished, state.Order, state.Canceled
 	for _, c := range state.Canceled {
 		r.canceled[c.key()] = true
+		r.bytes += CancelBytes(c.Host, c.Path)
 	}
 	for _, c := range state.QueueChanges {
 		r.setChange(c.Queue, c.Number)
@@ -303,6 +309,8 @@
 		r.effects[e.Pair] = e
 	}
 	for _, w := range r.state.Workflows {
+		w.bytes = 0
+		r.charge(w)
 		if !w.State.Ended() {
 			r.active = append(r.active, w)
 		}
--- a/internal/control/registrar/requests.go
+++ b/internal/control/registrar/requests.go
@@ -27,6 +27,7 @@
 // workflow is acknowledged and changes nothing.
 func (r *Registrar) Submit(submit jaygw.SubmitWorkflow, now jaygw.Time) jaygw.Result {
 	r.removeOldWorkflows(now)
+	r.reduceEndedWorkflows(now)
 	r.removeOldCancels(now)
 	if r.state.Catalog == nil {
 		return jaygw.Refuse(jaygw.RefusedState, "no catalog is in force yet")
@@ -69,6 +70,7 @@
 		w.Occurrences = append(w.Occurrences, o)
 	}
 	r.state.Workflows[id] = w
+	r.charge(w)
 	r.active = append(r.active, w)
 	if r.canceled[keyOfCancel(submit.Host, submit.Path)] {
 		r.endWorkflow(w, jaygw.WorkflowCanceled, "canceled by its caller before it was submitted", now)
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -111,8 +111,15 @@
 	return &messenger.ProposeResponse{Result: data, Members: s.memberAddresses(), LeaderAddress: s.leaderAddress()}, err
 }
 
-// admitOrPropose proposes a command, unless it submits a workflow that the leader refuses.
-func (s *Server) admitOrPropose(ctx context.Context, command jaygw.Command) (jaygw.Result, error) {
+// admitOrPropose proposes a command, unless the leader refuses it.
+func (s *Server) admitOrPropose(ctx context.Context, command jaygw.Command) (result jaygw.Result, err error) {
+	if s.orchestrator != nil {
+		release, refusal := s.orchestrator.Reserve(ctx, &command, time.Now())
+		if refusal != nil {
+			return jaygw.Result{Refusal: refusal}, nil
+		}
+		defer func() { release(err) }()
+	}
 	if command.SubmitWorkflow != nil && s.orchestrator != nil {
 		if refusal := s.orchestrator.RefuseSubmission(ctx, command.SubmitWorkflow); refusal != nil {
 			return jaygw.Result{Refusal: refusal}, nil
--- a/internal/daemon/launcher/control.go
+++ b/internal/daemon/launcher/control.go
@@ -79,7 +79,8 @@
 	self := jaygw.Member{ID: identity.ID, Name: n.settings.Name, Address: address, Domain: n.settings.Domain}
 	scheduler, workflows := dispatcher.New(dispatcher.WithLogger(n.log)), orchestrator.New(orchestrator.WithLogger(n.log), orchestrator.WithRegistry(n.registry),
 		orchestrator.WithLookAhead(n.settings.LookAhead), orchestrator.WithCopies(!n.settings.CopiesOff),
-		orchestrator.WithPaceByUrgency(n.settings.PaceByUrgency), orchestrator.WithAdmission(n.settings.Admission))
+		orchestrator.WithPaceByUrgency(n.settings.PaceByUrgency), orchestrator.WithAdmission(n.settings.Admission),
+		orchestrator.WithStateLimits(orchestrator.StateLimits{State: n.limits.State, Log: n.limits.Log}))
 	stateMachine := applier.New(n.settings.Group, applier.WithObserver(scheduler.Observer()))
 	replica, err := coordinator.Open(
 		coordinator.Settings{
--- a/internal/schedule/orchestrator/orchestrator.go
+++ b/internal/schedule/orchestrator/orchestrator.go
@@ -42,6 +42,8 @@
 		// admission is nil if all workflows are admitted.
 		admission *admission
 
+		limiter stateLimiter
+
 		mu sync.Mutex // guards the VM table
 		*vmTable
 	}
--- a/internal/schedule/orchestrator/simulated_copies_test.go
+++ b/internal/schedule/orchestrator/simulated_copies_test.go
@@ -49,8 +49,8 @@
 func (s *simulation) observeDone() {
 	for id := range s.attempts {
 		w := s.state.Workflow(id)
-		for j := range w.Spec.Steps {
-			for k := range w.Spec.Steps[j].Tasks {
+		for j := range s.steps[id] {
+			for k := range s.steps[id][j].Tasks {
 				task := jaygw.StepTask{Workflow: id, Step: j, Index: k}
 				if _, known := s.copies.done[task]; !known && (w.State == jaygw.WorkflowCompleted || s.state.IsDone(task)) {
 					s.copies.done[task] = s.now
@@ -63,8 +63,7 @@
 
 // allowsCopies reports whether the task of a run may have two runs.
 func (s *simulation) allowsCopies(task jaygw.StepTask) bool {
-	w := s.state.Workflow(task.Workflow)
-	return s.copies != nil && w.Spec.Steps[task.Step].AllowsCopies()
+	return s.copies != nil && s.steps[task.Workflow][task.Step].AllowsCopies()
 }
 
 // judgeNoted checks that an end that its worker considers recorded counts, also if it is that of the earlier of two runs.
--- a/internal/schedule/orchestrator/simulation_test.go
+++ b/internal/schedule/orchestrator/simulation_test.go
@@ -30,6 +30,7 @@
 		process  uint64
 		noLeader time.Time // there is no leader before
 		attempts map[string]int
+		steps    map[string][]jaygw.Step // of the workflows as submitted
 		starts   []simulatedStart
 		ends     []*simulatedEnd
 		log      []string
@@ -536,6 +537,7 @@
 		s.submit(id, first, second)
 	}
 	s.attempts[id] = 1 + s.random.IntN(3)
+	s.steps[id] = s.state.Workflow(id).Spec.Steps
 	s.state.Workflow(id).Queue.MaxAttempts = s.attempts[id]
 	if s.now.Sub(time.Unix(1000, 0)) < simulatedFaults {
 		s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() { s.submitRepeatedly(number + 1) })
@@ -593,7 +595,7 @@
 			continue
 		}
 		key := end.run.Task
-		if w.Spec.Steps[key.Step].Gang {
+		if s.steps[w.Spec.ID][key.Step].Gang {
 			key.Index = 0
 		}
 		if failed[key] == nil {
@@ -613,7 +615,7 @@
 
 func newSimulation(tb testing.TB, seed uint64) *simulation {
 	return &simulation{
-		harness: newHarness(tb), random: rand.New(rand.NewPCG(seed, 0)), term: 1, attempts: map[string]int{}, longestRun: 400 * time.Millisecond, duration: simulatedTime,
+		harness: newHarness(tb), random: rand.New(rand.NewPCG(seed, 0)), term: 1, attempts: map[string]int{}, steps: map[string][]jaygw.Step{}, longestRun: 400 * time.Millisecond, duration: simulatedTime,
 	}
 }
 
--- a/internal/wire/encoder/encoder.go
+++ b/internal/wire/encoder/encoder.go
@@ -3,6 +3,8 @@
 package encoder
 
 import (
+	"bytes"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 )
@@ -24,13 +26,21 @@
 	return data, eris.Wrap(err, "encode")
 }
 
+// MarshalLarge encodes a value like Marshal, without the pooled buffer from which that copies its result and which would keep the
+// size of the largest value.
+func MarshalLarge(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := encMode.MarshalToBuffer(value, &buffer)
+	return buffer.Bytes(), eris.Wrap(err, "encode")
+}
+
 // Unmarshal decodes data into the value that target points to. Trailing bytes are an error.
 func Unmarshal(data []byte, target any) error {
 	return eris.Wrap(decMode.Unmarshal(data, target), "decode")
 }
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.CoreDetEncOptions().UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/wire/limiter/limits.go
+++ b/internal/wire/limiter/limits.go
@@ -12,8 +12,8 @@
 	ProbeConnections int
 	// ProcessMemory is the limit for the garbage collector.
 	ProcessMemory int64
-	// Log bounds the entries of the log of the control state between two snapshots.
-	Log int64
+	// State bounds the workflows in the control state, and Log the entries of the log between two snapshots.
+	State, Log int64
 }
 
 const (
@@ -36,8 +36,11 @@
 	probeShare       = 32
 	leastConnections = 32
 
-	// logShare is the share of the free memory of a control process for the log, which has from leastLogBytes to mostLogBytes.
-	logShare                    = 16
+	// The shares of the free memory of a control process for the state and the log. A snapshot holds the state in memory up to
+	// four times.
+	stateShare, logShare = 8, 16
+
+	// The log has from leastLogBytes to mostLogBytes.
 	leastLogBytes, mostLogBytes = 2 << 20, 32 << 20
 
 	// leastBytes lets one large body be served at a time on the smallest VM.
@@ -57,7 +60,7 @@
 		limits.Bytes = max(leastBytes, free/share)
 		limits.Connections = int(max(leastConnections, free/4/connectionMemory))
 		if role == jaygw.RoleControl {
-			limits.Log = min(max(free/logShare, leastLogBytes), mostLogBytes)
+			limits.State, limits.Log = free/stateShare, min(max(free/logShare, leastLogBytes), mostLogBytes)
 		}
 		limits.ProcessMemory = int64(max(settings.Memory/2, settings.Memory-collectorReserve)) * 9 / 10
 	}
--- a/internal/wire/limiter/limits_test.go
+++ b/internal/wire/limiter/limits_test.go
@@ -29,6 +29,13 @@
 		require.LessOrEqual(t, limits.Connections, (test.descriptors-fileDescriptors)*7/8)
 		require.Less(t, limits.Bytes+int64(limits.Connections)*connectionMemory+int64(programMemory), int64(test.memory))
 		require.Less(t, limits.ProcessMemory, int64(test.memory))
+		if test.role == jaygw.RoleControl {
+			largest := jaygw.WorkflowSpec{Steps: []jaygw.Step{{Tasks: jaygw.MaxWorkflowTasks}}}
+			require.Less(t, 4*largest.StateBytes(), limits.State, "the largest workflow, with room for others")
+			require.Less(t, int64(programMemory)+limits.Bytes+4*limits.State+3*limits.Log, int64(test.memory))
+		} else {
+			require.Zero(t, limits.State)
+		}
 	}
 	require.Zero(t, LimitsFor(jaygw.NodeSettings{}, jaygw.RoleEntry))
 }
