Take the limits for clients from the surroundings where settings state none

What callers saw: a process whose settings have no "memory" and "file-descriptors", as all had before these settings came, runs out of memory under a crowd of clients that stop just short of the end of their bodies.

Cause: without these settings the limiter had no budget, no connection limit and no limit for the garbage collector.

Change: package detector reads what the process may use at its start: GOMEMLIMIT, the limit of its control group, or half of the VM's memory, which others share; and the limit of open files. Settings take precedence, and nothing is read if they state both. The log line "node: started" names the values and their sources.

--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -15,6 +15,7 @@
 	"github.com/jaygw/jaygw"
 	"github.com/jaygw/jaygw/internal/agent/poller"
 	"github.com/jaygw/jaygw/internal/agent/runner"
+	"github.com/jaygw/jaygw/internal/config/detector"
 	"github.com/jaygw/jaygw/internal/control/client"
 	"github.com/jaygw/jaygw/internal/control/journaler"
 	"github.com/jaygw/jaygw/internal/entry/relay"
@@ -122,10 +123,13 @@
 	n.group, ctx = errgroup.WithContext(ctx)
 	n.workCtx, n.stopWork = context.WithCancel(context.WithoutCancel(ctx))
 	defer n.stopWork()
+	allowance := detector.Detect(n.settings, detector.Look)
 	n.log.WithFields(logrus.Fields{
 		"role": string(role), "name": n.settings.Name, "seeds": n.settings.Seeds, "first-start": n.settings.FirstStart,
+		"memory": allowance.Memory, "memory-source": string(allowance.MemorySource),
+		"file-descriptors": allowance.FileDescriptors, "file-descriptors-source": string(allowance.DescriptorsSource),
 	}).Info("node: started")
-	n.limits = limiter.LimitsFor(n.settings, role)
+	n.limits = limiter.LimitsFor(allowance, role)
 	n.limiter = limiter.New(n.limits, n.log, n.registry)
 	if n.limits.ProcessMemory > 0 {
 		debug.SetMemoryLimit(n.limits.ProcessMemory)
--- a/internal/wire/limiter/limits.go
+++ b/internal/wire/limiter/limits.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "github.com/jaygw/jaygw"
+import (
+	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/detector"
+)
 
 // Limits bounds what all clients of a process take together. Zero values set no bound.
 type Limits struct {
@@ -47,12 +50,12 @@
 	leastBytes = 2 << 20
 )
 
-// LimitsFor returns the limits for a process with these settings. An entry serves mostly callers; the other roles keep most of
+// LimitsFor returns the limits for a process that may use so much. An entry serves mostly callers; the other roles keep most of
 // their memory and descriptors for the control state and for processes.
-func LimitsFor(settings jaygw.NodeSettings, role jaygw.Role) Limits {
+func LimitsFor(allowance detector.Allowance, role jaygw.Role) Limits {
 	var limits Limits
-	if settings.Memory > 0 {
-		free := int64(max(0, settings.Memory-programMemory))
+	if allowance.Memory > 0 {
+		free := int64(max(0, allowance.Memory-programMemory))
 		share := int64(8)
 		if role == jaygw.RoleEntry {
 			share = 4
@@ -62,11 +65,11 @@
 		if role == jaygw.RoleControl {
 			limits.State, limits.Log = free/stateShare, min(max(free/logShare, leastLogBytes), mostLogBytes)
 		}
-		limits.ProcessMemory = int64(max(settings.Memory/2, settings.Memory-collectorReserve)) * 9 / 10
+		limits.ProcessMemory = int64(max(allowance.Memory/2, allowance.Memory-collectorReserve)) * 9 / 10
 	}
 	probes := probeConnections
-	if settings.FileDescriptors > 0 {
-		free := settings.FileDescriptors - fileDescriptors
+	if allowance.FileDescriptors > 0 {
+		free := allowance.FileDescriptors - fileDescriptors
 		probes = max(leastConnections, free/probeShare)
 		if role == jaygw.RoleEntry {
 			free = free * 7 / 8
--- a/internal/wire/limiter/limits_test.go
+++ b/internal/wire/limiter/limits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/detector"
 	"github.com/stretchr/testify/require"
 )
 
@@ -21,7 +22,7 @@
 		{jaygw.RoleControl, 408 * jaygw.MB, 4100},
 		{jaygw.RoleAgent, 152 * jaygw.MB, 4096},
 	} {
-		limits := LimitsFor(jaygw.NodeSettings{Memory: test.memory, FileDescriptors: test.descriptors}, test.role)
+		limits := LimitsFor(detector.Allowance{Memory: test.memory, FileDescriptors: test.descriptors}, test.role)
 		require.GreaterOrEqual(t, limits.Bytes, int64(3*otherBodyBytes), "the largest body, with room for others")
 		require.LessOrEqual(t, limits.Bytes, int64(test.memory)/4)
 		require.GreaterOrEqual(t, limits.PerAddress, 500)
@@ -37,5 +38,5 @@
 			require.Zero(t, limits.State)
 		}
 	}
-	require.Zero(t, LimitsFor(jaygw.NodeSettings{}, jaygw.RoleEntry))
+	require.Zero(t, LimitsFor(detector.Allowance{}, jaygw.RoleEntry))
 }
--- a/node.go
+++ b/node.go
@@ -44,9 +44,10 @@
 		// ToleratedLosses is how many control VMs may be lost at the same time. The group keeps
 		// enough voters to retain a quorum without them.
 		ToleratedLosses int `json:"tolerated-losses,omitempty"`
-		// Memory is the memory of the VM that the process may use. Zero sets no bound on what callers' requests take.
+		// Memory is the memory that the process may use. Zero stands for GOMEMLIMIT, the limit of its control group, or
+		// half of the VM's memory, in this order.
 		Memory Bytes `json:"memory,omitempty"`
-		// FileDescriptors is how many descriptors the process may open. Zero sets no bound on connections.
+		// FileDescriptors is how many descriptors the process may open. Zero stands for the limit of open files.
 		FileDescriptors int `json:"file-descriptors,omitempty"`
 		// LookAhead makes placement hold claims for tasks that wait for much room.
 		LookAhead bool `json:"look-ahead,omitempty"`
