Bound the submissions that an entry has in flight

What callers saw: crowds that send large jobs to many entries at the same time end the leader, which runs out of memory, although it refuses most of them.

Cause: an entry passes on whatever its budget admits, and the leader holds a request in three encodings before it can refuse it. Each entry of 184 MB may have 25 jobs of 240 KB in flight, and there are up to 17 entries.

Change: an entry has at most 512 KiB of submissions of 16 KiB and more in flight, and as much of smaller ones. Others wait up to 0.25 s for their turn and then get 503 with Retry-After; they were not proposed. A single submission is in flight whatever its size.

Evidence: TestStateManyEntries, three control processes and ten entries with 64 MB in their settings; 200 clients send 1,000 jobs of 240 KB. TestSubmissionsInFlight checks the bound in virtual time, and that a small submission passes beside a hundred large ones.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -35,6 +35,7 @@
 		lastResponse atomic.Int64 // Unix time of the group's last response, in nanoseconds
 		reached      atomic.Bool  // the last request got a response from the group
 		order        *answerOrder
+		inFlight     *inFlight
 	}
 
 	// Option configures a Relay that New creates.
@@ -72,7 +73,7 @@
 
 // New returns a relay to a control group. Its metrics are held in a registry.
 func New(group Group, log logrus.FieldLogger, registry metrics.Registry, options ...Option) *Relay {
-	r := &Relay{group: group, log: log, registry: registry, watchdog: watchdog.New(watchdog.WithLogger(log)), order: newAnswerOrder()}
+	r := &Relay{group: group, log: log, registry: registry, watchdog: watchdog.New(watchdog.WithLogger(log)), order: newAnswerOrder(), inFlight: newInFlight()}
 	for _, option := range options {
 		option(r)
 	}
@@ -95,11 +96,16 @@
 	return context.WithValue(ctx, arrivalKey{}, call), func() { r.order.leave(call) }
 }
 
-// Submit submits a workflow. It returns ErrOvertaken, and the workflow is not accepted, if a catalog has changed the
+// Submit submits a workflow. One that would wait too long behind others is refused without a call to the control group. It returns ErrOvertaken, and the workflow is not accepted, if a catalog has changed the
 // queue at its path and a call that arrived later was answered from an older catalog.
 func (r *Relay) Submit(ctx context.Context, submit jaygw.SubmitWorkflow) (jaygw.Result, error) {
 	ctx, leave := r.Arrive(ctx)
 	defer leave()
+	release, ok := r.inFlight.acquire(ctx, submit.Spec.SpecBytes())
+	if !ok {
+		return r.refuseBusy(), nil
+	}
+	defer release()
 	call, _ := ctx.Value(arrivalKey{}).(*orderedCall)
 	if !r.order.knowsCatalog() {
 		if result, err := r.learnCatalog(ctx); err != nil || result.NoCatalog {
