Refuse submissions that are invalid at the entry

What callers saw: nothing but a slow 400. A crowd that sends large invalid jobs puts each of them into the log of all control processes, where it displaces what a replica that is behind needs.

Cause: only the state machine checked a workflow, after it was committed.

The state machine checks again, as for other builds.

Evidence: TestInvalidSubmissionsStayAtTheEntry, for which each kind reached the group before.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -96,11 +96,16 @@
 	return context.WithValue(ctx, arrivalKey{}, call), func() { r.order.leave(call) }
 }
 
-// Submit submits a workflow. One that would wait too long behind others is refused without a call to the control group. It returns ErrOvertaken, and the workflow is not accepted, if a catalog has changed the
+// Submit submits a workflow. A workflow that can never be accepted, or that would wait too long behind others, is refused
+// without a call to the control group. It returns ErrOvertaken, and the workflow is not accepted, if a catalog has changed the
 // queue at its path and a call that arrived later was answered from an older catalog.
 func (r *Relay) Submit(ctx context.Context, submit jaygw.SubmitWorkflow) (jaygw.Result, error) {
 	ctx, leave := r.Arrive(ctx)
 	defer leave()
+	if refusal := checkSubmission(submit); refusal != nil {
+		r.count("submit", "refused", time.Now())
+		return jaygw.Result{Refusal: refusal}, nil
+	}
 	release, ok := r.inFlight.acquire(ctx, submit.Spec.SpecBytes())
 	if !ok {
 		return r.refuseBusy(), nil
