--- a/internal/entry/relay/inflight_test.go
+++ b/internal/entry/relay/inflight_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,18 +18,30 @@
 
 // slowGroup answers a command after a time and records how many bytes wait for it.
 type slowGroup struct {
-	delay         time.Duration
+	delay time.Duration
+
+	mu            sync.Mutex
 	waiting, most int64
 	calls         int
 }
 
-func (g *slowGroup) ProposeIdempotent(_ context.Context, command jaygw.Command, _ time.Duration) (jaygw.Result, error) {
-	bytes := command.SubmitWorkflow.Spec.SpecBytes()
+// begin records a command that waits, and returns a function that records its end.
+func (g *slowGroup) begin(bytes int64) (end func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.calls++
 	g.waiting += bytes
 	g.most = max(g.most, g.waiting)
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.waiting -= bytes
+	}
+}
+
+func (g *slowGroup) ProposeIdempotent(_ context.Context, command jaygw.Command, _ time.Duration) (jaygw.Result, error) {
+	defer g.begin(command.SubmitWorkflow.Spec.SpecBytes())()
 	time.Sleep(g.delay)
-	g.waiting -= bytes
 	return jaygw.Result{Catalog: 1}, nil
 }
 
@@ -49,17 +63,17 @@
 		log.SetLevel(logrus.PanicLevel)
 		g := &slowGroup{delay: time.Second}
 		service := relay.New(g, log, metrics.NewRegistry())
-		accepted, refused := 0, 0
+		var accepted, refused atomic.Int64
 		submit := func(bytes int) {
 			result, err := service.Submit(t.Context(), submission("w", bytes))
 			require.NoError(t, err)
 			if result.Refusal == nil {
-				accepted++
+				accepted.Add(1)
 				return
 			}
 			require.Equal(t, jaygw.RefusedOverload, result.Refusal.Code)
 			require.Positive(t, result.Refusal.RetryAfter)
-			refused++
+			refused.Add(1)
 		}
 		for range 100 {
 			go submit(240_000)
@@ -71,11 +85,11 @@
 		require.LessOrEqual(t, g.most, int64(520<<10))
 		time.Sleep(300 * time.Millisecond)
 		synctest.Wait()
-		require.Equal(t, 98, refused)
+		require.Equal(t, int64(98), refused.Load())
 		time.Sleep(time.Second)
 		synctest.Wait()
-		require.Equal(t, 3, accepted)
+		require.Equal(t, int64(3), accepted.Load())
 		submit(2 << 20)
-		require.Equal(t, 4, accepted, "larger than the bound, but alone")
+		require.Equal(t, int64(4), accepted.Load(), "larger than the bound, but alone")
 	})
 }
