Close connections of an address that was distrusted while they were in use

What callers saw: without a leader, entries under many requests keep hundreds of connections to each control process, which runs out of descriptors.

Cause: a call that gets no response ends the generation of the connections to its address and closes the idle ones. Those that other calls were using went back to the pool under the old generation, from which nothing takes them, and stayed open for a minute; with a time-out each 0.7 s there were many generations.

Change: a connection that becomes idle in an old generation is closed, and a process keeps at most 64 idle connections, 32 to one address, where it was 64 to each.

--- a/internal/wire/dialer/dialer.go
+++ b/internal/wire/dialer/dialer.go
@@ -39,11 +39,12 @@
 	// connection.
 	MaxMessageBytes = 4 << 20
 
-	idleExpiration    = time.Minute
-	connsPerAddress   = 64
-	defaultDialTime   = time.Second
-	softCancelGrace   = 5 * time.Millisecond
-	inactivityTimeout = 2 * time.Minute
+	idleExpiration      = time.Minute
+	idleConnsPerAddress = 32
+	idleConns           = 64 // in all, also those of earlier generations that are not usable yet
+	defaultDialTime     = time.Second
+	softCancelGrace     = 5 * time.Millisecond
+	inactivityTimeout   = 2 * time.Minute
 
 	// unacknowledgedTimeout is how long sent data may stay unacknowledged before the connection is
 	// closed. Otherwise TCP would retransmit at growing intervals, and a stream would stay blocked
@@ -74,7 +75,8 @@
 	d := &Dialer{
 		pool: drpcpool.New[poolKey, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
-			KeyCapacity: connsPerAddress,
+			Capacity:    idleConns,
+			KeyCapacity: idleConnsPerAddress,
 		}),
 		timeout: defaultDialTime,
 	}
--- a/internal/wire/dialer/trust.go
+++ b/internal/wire/dialer/trust.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcpool"
 )
 
 type (
@@ -63,22 +62,26 @@
 	if err != nil && ctx.Err() != nil && time.Since(started) >= silentTime {
 		c.Distrust()
 	}
+	if c.dialer.generations.key(c.key.address) != c.key {
+		c.dialer.closeIdleConns(c.key) // this one has just become idle
+	}
 	return err
 }
 
 // Distrust closes the idle connections to the address, unless they were opened after this one.
 func (c *Conn) Distrust() {
-	if !c.dialer.generations.end(c.key) {
-		return
+	if c.dialer.generations.end(c.key) {
+		c.dialer.closeIdleConns(c.key)
 	}
+}
+
+// closeIdleConns closes the connections of a generation that nobody uses.
+func (d *Dialer) closeIdleConns(key poolKey) {
 	for {
-		idle, ok := c.dialer.pool.Take(c.key)
+		idle, ok := d.pool.Take(key)
 		if !ok {
 			return
 		}
-		closeIdle(idle)
+		_ = idle.Close() // its error tells nothing new, as the connection is suspect
 	}
 }
-
-// closeIdle closes a connection that nobody uses. Its error tells nothing new, as the connection is suspect.
-func closeIdle(conn drpcpool.Conn) { _ = conn.Close() }
