Bound the calls that an entry has in flight

What callers saw: while the group has no leader, a crowd of clients that read the state of jobs, or send small ones, takes the descriptors and the memory of the control processes that are left.

Cause: each request that waits for the group takes a connection to it, and nothing bounded these but the connections of callers: up to 3,255 at each entry, where a control process has 4,100 descriptors in all.

Change: an entry has at most 96 calls in flight. Others wait up to 0.25 s and then get 503 with Retry-After; they were not sent. Pings and the limits of the catalog do not wait.

Evidence: TestNoLeaderReads, three control processes of which two are down, two entries, 900 clients. The other tests of the file, with a control process that is frozen and with complete bodies, passed before.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -106,11 +106,11 @@
 		r.count("submit", "refused", time.Now())
 		return jaygw.Result{Refusal: refusal}, nil
 	}
-	release, ok := r.inFlight.acquire(ctx, submit.Spec.SpecBytes())
+	end, ok := r.inFlight.submit(ctx, submit.Spec.SpecBytes())
 	if !ok {
-		return r.refuseBusy(), nil
+		return r.refuseBusy("submit"), nil
 	}
-	defer release()
+	defer end()
 	call, _ := ctx.Value(arrivalKey{}).(*orderedCall)
 	if !r.order.knowsCatalog() {
 		if result, err := r.learnCatalog(ctx); err != nil || result.NoCatalog {
@@ -164,6 +164,11 @@
 
 // Cancel cancels a workflow. Its result does not depend on the catalog.
 func (r *Relay) Cancel(ctx context.Context, cancel jaygw.CancelWorkflow) (jaygw.Result, error) {
+	end, ok := r.inFlight.call(ctx)
+	if !ok {
+		return r.refuseBusy("cancel"), nil
+	}
+	defer end()
 	return r.decide(ctx, "cancel", cancel.Path, jaygw.Command{CancelWorkflow: &cancel})
 }
 
@@ -250,6 +255,11 @@
 func (r *Relay) Query(ctx context.Context, query jaygw.WorkflowQuery) (jaygw.WorkflowQueryResult, error) {
 	ctx, leave := r.Arrive(ctx)
 	defer leave()
+	end, ok := r.inFlight.call(ctx)
+	if !ok {
+		return jaygw.WorkflowQueryResult{}, eris.Wrap(jaygw.ErrNotConfirmed, r.refuseBusy("query").Refusal.Detail)
+	}
+	defer end()
 	call, _ := ctx.Value(arrivalKey{}).(*orderedCall)
 	for {
 		result, err := r.queryOnce(ctx, query)
