Bound what operators' clients take from the other daemons

What callers saw: clients that stop just short of the end of a document at the operators' port of jaygw entry, control or local drive the process over its memory.

Cause: the limiter was used by jaygw node alone. The operators' server read up to 8 MiB of each body, of any number of connections, without a time limit.

Change: the server has the limiter of operators, with a budget from the surroundings of the process. The statuses of other refusals stay.

--- a/internal/daemon/launcher/launcher.go
+++ b/internal/daemon/launcher/launcher.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/jaygw/jaygw"
+	"github.com/jaygw/jaygw/internal/config/detector"
 	"github.com/jaygw/jaygw/internal/observe/collector"
 	"github.com/jaygw/jaygw/internal/observe/meter"
 	"github.com/jaygw/jaygw/internal/observe/recorder"
 	"github.com/jaygw/jaygw/internal/wire/dialer"
+	"github.com/jaygw/jaygw/internal/wire/limiter"
 	"github.com/jaygw/jaygw/internal/wire/messenger"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
@@ -158,8 +160,9 @@
 // requests in flight.
 func (p *Process) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, drain func()) {
 	server := p.newHTTPServer(meter.Handler(p.registry, handler))
+	limited := p.newLimiter().Limit(server, listener, limiter.Operators)
 	p.group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve HTTP")
 		}
 		return nil
@@ -174,6 +177,12 @@
 	})
 }
 
+// newLimiter returns the limiter for operators. Without settings for it, the surroundings of the process say what it may use.
+func (p *Process) newLimiter() *limiter.Limiter {
+	allowance := detector.Detect(jaygw.NodeSettings{}, detector.Look)
+	return limiter.New(limiter.LimitsFor(allowance, jaygw.RoleControl), p.log, p.registry)
+}
+
 func (p *Process) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -2,10 +2,10 @@
 package responder
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -19,6 +19,7 @@
 	"github.com/jaygw/jaygw/internal/control/applier"
 	"github.com/jaygw/jaygw/internal/observe/collector"
 	"github.com/jaygw/jaygw/internal/operator/planner"
+	"github.com/jaygw/jaygw/internal/wire/limiter"
 )
 
 type (
@@ -47,6 +48,9 @@
 	// requestTimeout bounds the wait for the control group to commit a command or confirm a read.
 	requestTimeout  = 5 * time.Second
 	maxRequestBytes = 8 << 20
+
+	// The memory that decoding a request takes, at most: for each object, and for each byte.
+	objectBytes, textBytes = 512, 6
 )
 
 // WithNodes sets the function that lists the nodes that watch the view.
@@ -250,12 +254,22 @@
 
 // readBody reads the body of a request. If it returns false, it has written the error response.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	if err != nil {
+	data, err := limiter.ReadBody(w, r, maxRequestBytes, decodingCost)
+	switch {
+	case errors.Is(err, limiter.ErrBusy):
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, err)
+	case errors.Is(err, limiter.ErrSlow):
+		writeError(w, http.StatusRequestTimeout, err)
+	case err != nil:
 		writeError(w, http.StatusBadRequest, err)
-		return nil, false
 	}
-	return data, true
+	return data, err == nil
+}
+
+// decodingCost returns the memory that decoding a body takes, at most.
+func decodingCost(body []byte) int64 {
+	return int64(bytes.Count(body, []byte{'{'})*objectBytes + len(body)*textBytes)
 }
 
 // readRequest reads and decodes the body of a request. If it returns false, it has written the error
