Bound the state by the memory of the smallest replica

What callers saw: where control VMs differ, a leader with much memory accepts workflows until a replica with less runs out of memory; if it is one of two that are left, the group ends.

Cause: the bound of the state followed the memory of the leader alone.

Change: a replica names the memory that it has for the state in its responses to the leader, and the least of all members counts. Responses of earlier builds name none, and they ignore the field.

Cancels of workflows whose queue was removed, and resends shortly before the end of the retention, are no longer taken for new or dropped to their id.

--- a/internal/control/coordinator/options.go
+++ b/internal/control/coordinator/options.go
@@ -86,3 +86,6 @@
 		}
 	}
 }
+
+// WithStateBytes sets the memory that this replica has for the state, which it tells the leader. Zero sets no bound.
+func WithStateBytes(bytes int64) Option { return func(r *Replica) { r.ownLimit = max(bytes, 0) } }
--- a/internal/control/coordinator/replica.go
+++ b/internal/control/coordinator/replica.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,8 @@
 		diskSpace *diskSpace
 		lastID    atomic.Uint64 // id of the last proposal or read
 		logMemory atomic.Int64  // estimated size of the log in memory
+		capacity  atomic.Int64  // smallest memory for the state of all members
+		ownLimit  int64         // of this replica, see WithStateBytes
 		start     time.Time     // origin of the core's clock
 		rejoining atomic.Bool   // a request to join through a leader is running
 
@@ -174,6 +177,7 @@
 	r.core = replicator.New(replicator.Config{
 		ID: r.settings.Self.ID, Bootstrap: members, Seed: rand.Uint64(),
 		Heartbeat: replicator.DefaultHeartbeat, Election: replicator.DefaultElection, RetainedEntries: r.retained,
+		Capacity:                uint64(r.ownLimit),
 		RetainedBytes:           min(r.snapshotBytes, replicator.DefaultRetainedBytes),
 		RemoveUnresponsiveAfter: r.settings.RemoveUnresponsiveAfter, ToleratedLosses: r.settings.Tolerated,
 	}, recovered)
@@ -297,6 +301,7 @@
 		return err
 	}
 	r.logMemory.Store(int64(r.core.LogBytes()))
+	r.capacity.Store(int64(min(r.core.Capacity(), math.MaxInt64)))
 	r.updateLeadership()
 	r.completeReads(out)
 	r.startSnapshot()
@@ -358,6 +363,10 @@
 	read(r.machine)
 }
 
+// StateBytes returns the smallest memory that the members of the group have for the state, as far as this replica knows; zero for
+// no bound. A leader knows it from the members' responses.
+func (r *Replica) StateBytes() int64 { return r.capacity.Load() }
+
 // LogBytes returns the estimated size of the log in memory.
 func (r *Replica) LogBytes() int64 { return r.logMemory.Load() }
 
--- a/internal/control/registrar/memory.go
+++ b/internal/control/registrar/memory.go
@@ -43,6 +43,15 @@
 	return bytes
 }
 
+// StaysKnown reports whether the workflow at a host and a path is known, and is so for a good part of the retention time.
+func (r *Registrar) StaysKnown(host, path string, now jaygw.Time) bool {
+	w := r.findWorkflow(host, path)
+	return w != nil && (!w.State.Ended() || w.Finished.Add(retention/2) > now)
+}
+
+// IsKnown reports whether the workflow at a host and a path is known, also if its queue has been removed from the catalog.
+func (r *Registrar) IsKnown(host, path string) bool { return r.findWorkflow(host, path) != nil }
+
 // charge accounts for the memory of a new or reduced workflow.
 func (r *Registrar) charge(w *Workflow) {
 	bytes := w.Spec.StateBytes()
--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -95,6 +95,17 @@
 // Last returns the index and the term of the last entry of the log.
 func (c *Core) Last() (index, term uint64) { return c.log.last(), c.log.lastTerm() }
 
+// Capacity returns the smallest memory for the state that a leader knows of the members; zero for no bound.
+func (c *Core) Capacity() uint64 {
+	smallest := c.config.Capacity
+	for _, p := range c.progress {
+		if p.capacity > 0 && (smallest == 0 || p.capacity < smallest) {
+			smallest = p.capacity
+		}
+	}
+	return smallest
+}
+
 // LogBytes returns the estimated size of the log in memory.
 func (c *Core) LogBytes() int { return c.log.bytes }
 
@@ -218,7 +229,7 @@
 func (c *Core) send(m Message) {
 	m.From = c.config.ID
 	if m.Kind == AppendResponse {
-		m.Unverified = !c.voteState.Verified
+		m.Unverified, m.Capacity = !c.voteState.Verified, c.config.Capacity
 	}
 	c.output.Messages = append(c.output.Messages, m)
 }
--- a/internal/control/replicator/leader.go
+++ b/internal/control/replicator/leader.go
@@ -13,6 +13,7 @@
 	next        uint64           // index of the next entry to send
 	since       time.Duration    // time from which the leader has had this progress
 	probing     bool             // whether to send one message at a time, until a match is found
+	capacity    uint64           // memory for the state that the last response has named; zero for no bound
 	verified    bool             // the last response came from a verified replica, see VoteState
 	lastContact time.Duration    // time of the last response
 	steadySince time.Duration    // time from which responses have come without a gap of an election time
@@ -193,7 +194,7 @@
 	if p == nil {
 		return
 	}
-	p.verified = !m.Unverified
+	p.verified, p.capacity = !m.Unverified, m.Capacity
 	if m.Refused {
 		if m.Index <= p.match {
 			p.match = 0 // the member lost its disk, or the response is late; safe in both cases
--- a/internal/control/replicator/types.go
+++ b/internal/control/replicator/types.go
@@ -75,6 +75,8 @@
 		Data       []byte        `cbor:"17,keyasint,omitempty"` // content of the chunk
 		// Transfer marks a Vote of a leadership transfer, which a live leader does not block.
 		Transfer bool `cbor:"18,keyasint,omitempty"`
+		// Capacity is Config.Capacity of the sender of an AppendResponse; zero from a replica of an earlier build.
+		Capacity uint64 `cbor:"19,keyasint,omitempty"`
 	}
 
 	// Proposal is one command to append to the log.
@@ -157,6 +159,8 @@
 		// voters remain; zero disables removal. A removed replica has to join again. Unless it is zero,
 		// a learner that would make the number of voters even waits for a voter to replace.
 		RemoveUnresponsiveAfter time.Duration
+		// Capacity is the memory that this replica has for the state, in bytes; zero for no bound.
+		Capacity uint64
 		// ToleratedLosses is the number of voters that may be lost at the same time.
 		ToleratedLosses int
 	}
--- a/internal/daemon/launcher/control.go
+++ b/internal/daemon/launcher/control.go
@@ -94,6 +94,7 @@
 		coordinator.WithLogger(n.log),
 		coordinator.WithRegistry(n.registry),
 		coordinator.WithLogBytes(n.limits.Log),
+		coordinator.WithStateBytes(n.limits.State),
 		coordinator.WithLeadershipHook(func(l coordinator.Leadership) {
 			now := time.Now()
 			scheduler.SetLeadership(l.Term, l.Leads, now)
--- a/internal/schedule/orchestrator/statelimit.go
+++ b/internal/schedule/orchestrator/statelimit.go
@@ -39,8 +39,11 @@
 		submit         *jaygw.SubmitWorkflow // nil for a cancel
 	}
 
-	// logSizer is a replica that knows the size of its log in memory.
-	logSizer interface{ LogBytes() int64 }
+	// memoryReporter is a replica that knows the size of its log in memory, and the smallest memory for the state of all members.
+	memoryReporter interface {
+		LogBytes() int64
+		StateBytes() int64
+	}
 )
 
 const (
@@ -83,12 +86,15 @@
 	if !ok || o.limiter.limits == (StateLimits{}) || !o.leading.Load() {
 		return ignore, nil
 	}
-	used, isNew := o.stateUsed(request, now)
-	if !isNew {
+	used, isNew, staysKnown := o.stateUsed(request, now)
+	if staysKnown {
 		request.dropContent()
+	}
+	if !isNew {
 		return ignore, nil
 	}
-	reason := o.limiter.reserve(request.bytes, used, o.logBytes())
+	logBytes, limits := o.memory()
+	reason := o.limiter.reserve(request.bytes, used, logBytes, limits)
 	if reason == "" {
 		return func(err error) { o.limiter.release(request.bytes, err) }, nil
 	}
@@ -96,7 +102,7 @@
 		o.log.WithError(err).WithField("workflow", request.id).Warn("scheduler: state not confirmed, request not refused")
 		return ignore, nil
 	}
-	if _, isNew := o.stateUsed(request, now); !isNew || !o.leading.Load() {
+	if _, isNew, _ := o.stateUsed(request, now); !isNew || !o.leading.Load() {
 		return ignore, nil
 	}
 	o.reportFull(request, reason, used, now)
@@ -133,23 +139,28 @@
 	}
 }
 
-// stateUsed returns the memory that the state takes, and whether the request would add to it.
-func (o *Orchestrator) stateUsed(request stateRequest, now time.Time) (used int64, isNew bool) {
+// stateUsed returns the memory that the state takes, whether the request would add to it, and whether its workflow is known and stays
+// so until the request has been applied.
+func (o *Orchestrator) stateUsed(request stateRequest, now time.Time) (used int64, isNew, staysKnown bool) {
 	o.replica.Read(func(machine *applier.Machine) {
 		state := machine.Registrar()
-		used, isNew = state.Bytes(jaygw.TimeOf(now)), state.Workflow(request.id) == nil
-		if request.submit == nil {
-			isNew = state.Query(jaygw.WorkflowQuery{Host: request.host, Path: request.path}).State == ""
+		used, isNew = state.Bytes(jaygw.TimeOf(now)), !state.IsKnown(request.host, request.path)
+		if request.submit != nil {
+			isNew = isNew && state.Workflow(request.id) == nil // the id may be that of a workflow in another queue
 		}
+		staysKnown = state.StaysKnown(request.host, request.path, jaygw.TimeOf(now))
 	})
-	return used, isNew
+	return used, isNew, staysKnown
 }
 
-func (o *Orchestrator) logBytes() int64 {
-	if replica, ok := o.replica.(logSizer); ok {
-		return replica.LogBytes()
+// memory returns the size of the log in memory, and the limits, which also hold for the member with the least memory.
+func (o *Orchestrator) memory() (logBytes int64, limits StateLimits) {
+	limits = o.limiter.limits
+	if replica, ok := o.replica.(memoryReporter); ok {
+		logBytes = replica.LogBytes()
+		limits.State = min(boundOr(limits.State), boundOr(replica.StateBytes()))
 	}
-	return 0
+	return logBytes, limits
 }
 
 // The reasons of refusals.
@@ -160,10 +171,10 @@
 )
 
 // reserve reserves the bytes of a request, or returns why there is no room for it.
-func (l *stateLimiter) reserve(bytes, used, logBytes int64) (reason string) {
+func (l *stateLimiter) reserve(bytes, used, logBytes int64, limits StateLimits) (reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state, log := boundOr(l.limits.State), boundOr(l.limits.Log)
+	state, log := boundOr(limits.State), boundOr(limits.Log)
 	logLimit, proposed := log, log/proposedShare
 	if log <= math.MaxInt64/logFactor {
 		logLimit = log * logFactor
@@ -212,6 +223,7 @@
 func (o *Orchestrator) reportFull(request stateRequest, reason string, used int64, now time.Time) {
 	o.incrementCounter("clients.refused-state")
 	l := &o.limiter
+	logBytes, limits := o.memory()
 	l.mu.Lock()
 	l.refused++
 	refused, reserved, isDue := l.refused, l.reserved, now.Sub(l.logged) >= refusalLogInterval
@@ -222,7 +234,7 @@
 	if isDue {
 		o.log.WithFields(logrus.Fields{
 			"workflow": request.id, "reason": reason, "request": request.bytes, "used": used, "reserved": reserved,
-			"limit": l.limits.State, "log": o.logBytes(), "count": refused,
+			"limit": limits.State, "log": logBytes, "count": refused,
 		}).Warn("scheduler: request refused, no room for it")
 	}
 }
--- a/internal/schedule/orchestrator/statelimit_test.go
+++ b/internal/schedule/orchestrator/statelimit_test.go
@@ -53,7 +53,7 @@
 				l.release(open[0], jaygw.ErrOutcomeUnknown)
 				open = open[1:]
 			}
-			refused := l.reserve(request.Bytes, request.Used, request.Log) != ""
+			refused := l.reserve(request.Bytes, request.Used, request.Log, l.limits) != ""
 			require.Equal(t, request.Refused, refused, "%s: request %d", script.Name, i)
 			if !refused {
 				open = append(open, request.Bytes)
@@ -92,6 +92,11 @@
 	require.NotNil(t, reserve(jaygw.Command{CancelWorkflow: &jaygw.CancelWorkflow{Host: "h", Path: "/q/" + strings.Repeat("b", 7_000)}}))
 	require.Nil(t, reserve(jaygw.Command{CancelWorkflow: &jaygw.CancelWorkflow{Host: "h", Path: "/q/long"}}), "it frees memory")
 	require.Nil(t, reserve(jaygw.Command{SubmitWorkflow: submission("invalid")}), "the state machine refuses it")
+	require.Nil(t, replica.apply(jaygw.Command{Catalog: &jaygw.PutCatalog{Catalog: jaygw.Catalog{Number: 2}}}, now).Refusal)
+	require.Nil(t, reserve(jaygw.Command{CancelWorkflow: &jaygw.CancelWorkflow{Host: "h", Path: "/q/long"}}), "its queue has been removed")
+	require.Nil(t, replica.apply(jaygw.Command{Catalog: &jaygw.PutCatalog{Catalog: jaygw.Catalog{
+		Number: 3, Services: []jaygw.PoolSpec{{Name: "s"}}, Queues: []jaygw.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Timeout: time.Second}},
+	}}}, now).Refusal)
 
 	resend := jaygw.Command{SubmitWorkflow: submission("long", long.Spec.Steps...)}
 	require.Nil(t, reserve(resend))
