--- a/internal/schedule/orchestrator/orchestrator.go
+++ b/internal/schedule/orchestrator/orchestrator.go
@@ -42,6 +42,7 @@
 		// admission is nil if all workflows are admitted.
 		admission *admission
 
+		// limiter bounds what callers' requests take in memory.
 		limiter stateLimiter
 
 		mu sync.Mutex // guards the VM table
--- a/internal/schedule/orchestrator/statelimit.go
+++ b/internal/schedule/orchestrator/statelimit.go
@@ -69,6 +69,11 @@
 
 	// refusalLogInterval is the least time between two log lines.
 	refusalLogInterval = 10 * time.Second
+
+	// The reasons of refusals.
+	stateIsFull    = "the control state holds as much as its memory allows"
+	logIsFull      = "the log holds as much as its memory allows"
+	proposedIsFull = "too many requests wait to be committed"
 )
 
 // WithStateLimits bounds what callers' requests take in memory. The default is no bound.
@@ -81,17 +86,17 @@
 // began. Otherwise release must be called with the outcome of the proposal. The content of a resend, which is
 // acknowledged by its id, is dropped.
 func (o *Orchestrator) Reserve(ctx context.Context, command *jaygw.Command, now time.Time) (release func(err error), refusal *jaygw.Refusal) {
-	ignore := func(error) {}
+	nothingReserved := func(error) {}
 	request, ok := newStateRequest(command)
 	if !ok || o.limiter.limits == (StateLimits{}) || !o.leading.Load() {
-		return ignore, nil
+		return nothingReserved, nil
 	}
 	used, isNew, staysKnown := o.stateUsed(request, now)
 	if staysKnown {
 		request.dropContent()
 	}
 	if !isNew {
-		return ignore, nil
+		return nothingReserved, nil
 	}
 	logBytes, limits := o.memory()
 	reason := o.limiter.reserve(request.bytes, used, logBytes, limits)
@@ -100,10 +105,10 @@
 	}
 	if _, err := o.replica.Confirm(ctx); err != nil {
 		o.log.WithError(err).WithField("workflow", request.id).Warn("scheduler: state not confirmed, request not refused")
-		return ignore, nil
+		return nothingReserved, nil
 	}
 	if _, isNew, _ := o.stateUsed(request, now); !isNew || !o.leading.Load() {
-		return ignore, nil
+		return nothingReserved, nil
 	}
 	o.reportFull(request, reason, used, now)
 	refusal = jaygw.Refuse(jaygw.RefusedTableFull, "%s", reason).Refusal
@@ -111,7 +116,7 @@
 	if reason == stateIsFull {
 		refusal.RetryAfter = fullStateRetry
 	}
-	return ignore, refusal
+	return nothingReserved, refusal
 }
 
 // newStateRequest returns the request of a command. It reports false for a command that adds nothing to the state, also
@@ -158,37 +163,29 @@
 	limits = o.limiter.limits
 	if replica, ok := o.replica.(memoryReporter); ok {
 		logBytes = replica.LogBytes()
-		limits.State = min(boundOr(limits.State), boundOr(replica.StateBytes()))
+		limits.State = min(orUnbounded(limits.State), orUnbounded(replica.StateBytes()))
 	}
 	return logBytes, limits
 }
 
-// The reasons of refusals.
-const (
-	stateIsFull    = "the control state holds as much as its memory allows"
-	logIsFull      = "the log holds as much as its memory allows"
-	proposedIsFull = "too many requests wait to be committed"
-)
-
 // reserve reserves the bytes of a request, or returns why there is no room for it.
 func (l *stateLimiter) reserve(bytes, used, logBytes int64, limits StateLimits) (reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state, log := boundOr(limits.State), boundOr(limits.Log)
-	logLimit, proposed := log, log/proposedShare
-	if log <= math.MaxInt64/logFactor {
-		logLimit = log * logFactor
+	state, log, proposed := orUnbounded(limits.State), orUnbounded(limits.Log), orUnbounded(limits.Log/proposedShare)
+	if limits.Log > 0 {
+		log *= logFactor
 	}
 	if bytes >= largeRequest {
 		if used+l.reserved > state/nearlyEmpty {
 			state = state / 4 * 3
 		}
-		logLimit, proposed = logLimit/4*3, proposed/4*3
+		log, proposed = log/4*3, proposed/4*3
 	}
 	switch {
 	case used+l.reserved+bytes > state:
 		return stateIsFull
-	case logBytes+l.reserved+bytes > logLimit:
+	case logBytes+l.reserved+bytes > log:
 		return logIsFull
 	case l.reserved > 0 && l.reserved+bytes > proposed:
 		return proposedIsFull
@@ -197,8 +194,8 @@
 	return ""
 }
 
-// boundOr returns a bound, or the largest one if there is none.
-func boundOr(bound int64) int64 {
+// orUnbounded returns a bound, or the largest one if there is none.
+func orUnbounded(bound int64) int64 {
 	if bound > 0 {
 		return bound
 	}
