Bound what waits unread in the receive buffers of clients

What callers saw: clients that send requests without waiting for responses take more memory outside the process than it has in all: what has arrived on a connection and was not read counts for the memory of its control group or VM.

Cause: the receive buffers had the system's size. With 520 connections at an entry whose group has no leader, 64 MB waited in them.

Change: a listener for clients sets the receive buffer, which its connections inherit, to a sixteenth of the memory over all connections, 4 to 64 KiB.

Evidence: TestUnreadRequests, 900 clients with 10,000 requests each, two entries with 64 MB. Unread bytes and the peak of the memory were 102 MB before, and 49 to 51 MB now, of which 3.3 MB are unread. Trial with buffers of 4, 8 and 16 KiB: a body of 262,144 bytes took 2.1 to 2.5 ms over loopback, and 1.6 ms without.

--- a/internal/daemon/launcher/node.go
+++ b/internal/daemon/launcher/node.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jaygw/jaygw"
@@ -29,6 +30,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 type (
@@ -202,14 +204,36 @@
 	return orDefault(n.settings.Grace.Std(), defaultGrace) - exitReserve
 }
 
-func (n *Node) listen(address string) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+func (n *Node) listen(address string, options ...func(*net.ListenConfig)) (net.Listener, error) {
+	var config net.ListenConfig
+	for _, option := range options {
+		option(&config)
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	return listener, eris.Wrapf(err, "listen at %s", address)
 }
 
+// withReadBuffer sets the size of the receive buffers of the connections that a listener accepts. They inherit it from
+// the listener: a buffer that shrinks once a connection is open would drop what its client may already have sent. Zero leaves
+// it to the system.
+func withReadBuffer(bytes int) func(*net.ListenConfig) {
+	return func(config *net.ListenConfig) {
+		if bytes == 0 {
+			return
+		}
+		config.Control = func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(fd uintptr) {
+				optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+			})
+			return errors.Join(err, optionErr)
+		}
+	}
+}
+
 // serve starts an HTTP server for a class of clients that is closed once workCtx ends.
 func (n *Node) serve(address string, handler http.Handler, class limiter.Class) (*http.Server, error) {
-	listener, err := n.listen(address)
+	listener, err := n.listen(address, withReadBuffer(n.limits.ReadBuffer))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/limiter/limits.go
+++ b/internal/wire/limiter/limits.go
@@ -13,6 +13,8 @@
 	Connections, PerAddress int
 	// ProbeConnections bounds the connections of each listener for metrics or the readiness.
 	ProbeConnections int
+	// ReadBuffer is the size of the receive buffer of a connection, in bytes: what has arrived and was not read also takes memory.
+	ReadBuffer int
 	// ProcessMemory is the limit for the garbage collector.
 	ProcessMemory int64
 	// State bounds the workflows in the control state, and Log the entries of the log between two snapshots.
@@ -46,6 +48,11 @@
 	// The log has from leastLogBytes to mostLogBytes.
 	leastLogBytes, mostLogBytes = 2 << 20, 32 << 20
 
+	// unreadShare is the share of the memory for what has arrived on all connections and was not read. A receive buffer has
+	// from leastReadBuffer to mostReadBuffer.
+	unreadShare                     = 16
+	leastReadBuffer, mostReadBuffer = 4 << 10, 64 << 10
+
 	// leastBytes lets one large body be served at a time on the smallest VM.
 	leastBytes = 2 << 20
 )
@@ -83,6 +90,9 @@
 	}
 	if limits.Connections > 0 {
 		limits.PerAddress, limits.ProbeConnections = max(1, limits.Connections*3/4), probes
+		if allowance.Memory > 0 {
+			limits.ReadBuffer = min(max(int(allowance.Memory)/unreadShare/limits.Connections, leastReadBuffer), mostReadBuffer)
+		}
 	}
 	return limits
 }
