review: case 15, a late start reaches the next boot of its worker

The stand-in draws its loopback addresses from more networks, and asks for the state of jobs at the same time.

--- a/review/standin-3/estate.go
+++ b/review/standin-3/estate.go
@@ -23,12 +23,13 @@
 	estate struct {
 		record    *record
 		folder    string
-		network   int // second byte of all addresses
-		port      int // first port on each address
+		network   string // first three bytes of all addresses
+		port      int    // first port on each address
 		processes []*exec.Cmd
 		controls  []string // addresses for operators
 		entries   []string // addresses for callers
 		workers   []*worker
+		agents    []*os.Process // of the workers
 	}
 
 	// size is what an estate consists of. A VM with a control process has an entry too.
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &estate{record: rec, folder: folder, network: 20 + rand.IntN(200)}
+	e := &estate{record: rec, folder: folder, network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))}
 	if e.port, err = e.freePort(); err != nil {
 		return e, err
 	}
@@ -106,6 +107,7 @@
 	if err := e.start(vm, "agent", metricsPort, settings); err != nil {
 		return err
 	}
+	e.agents = append(e.agents, e.processes[len(e.processes)-1].Process)
 	go w.sendHeartbeats(e.address(vm, 1))
 	return nil
 }
@@ -183,7 +185,7 @@
 	return changes
 }
 
-func (e *estate) host(vm int) string { return fmt.Sprintf("127.%d.0.%d", e.network, vm) }
+func (e *estate) host(vm int) string { return fmt.Sprintf("%s.%d", e.network, vm) }
 
 func (e *estate) address(vm, port int) string { return fmt.Sprintf("%s:%d", e.host(vm), e.port+port) }
 
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,7 +21,7 @@
 
 var (
 	scenarios = map[string]scenario{
-		"wide-job": playWideJob, "many-steps": playManySteps, "unhealthy": playUnhealthy, "slow-advice": playSlowAdvice, "same-id": playSameID,
+		"wide-job": playWideJob, "many-steps": playManySteps, "unhealthy": playUnhealthy, "slow-advice": playSlowAdvice, "late-order": playLateOrder,
 	}
 
 	errNotReady = errors.New("the deployment did not become ready")
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"strings"
 	"sync"
@@ -88,3 +89,10 @@
 	defer r.mu.Unlock()
 	return len(r.task(task).active) > 0
 }
+
+// activeRuns returns the workers of the runs of a task that are at work, by run.
+func (r *record) activeRuns(task string) map[uint64]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.task(task).active)
+}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -32,6 +32,9 @@
 		sequence       int
 		unhealthyUntil time.Time // until then it refuses all starts
 		refused        int       // starts that it has refused so
+		down           bool      // between a crash and the next boot
+		// holdUp decides whether a start gets no answer and is carried out late, by deliver; nil if none is.
+		holdUp func(w *worker, o order) bool
 	}
 
 	run struct {
@@ -112,7 +115,14 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		status, reason := w.admit(r, o)
+		w.abortIfDown()
+		if o.Specification != "" && w.holdUp != nil && w.holdUp(w, o) {
+			w.mu.Unlock()
+			<-r.Context().Done()
+			w.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
+		status, reason := w.admit(r.Header.Get("Expected-Instance"), o)
 		if status == http.StatusOK {
 			status, reason = action(o)
 		}
@@ -120,8 +130,15 @@
 	}
 }
 
-func (w *worker) admit(r *http.Request, o order) (int, string) {
-	if r.Header.Get("Expected-Instance") != w.id {
+// abortIfDown breaks off a call to a worker that has crashed.
+func (w *worker) abortIfDown() {
+	if w.down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (w *worker) admit(instance string, o order) (int, string) {
+	if instance != w.id {
 		return http.StatusMisdirectedRequest, ""
 	}
 	if o.Fence < w.fence {
@@ -222,7 +239,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if status, reason := w.admit(r, o); status != http.StatusOK {
+	w.abortIfDown()
+	if status, reason := w.admit(r.Header.Get("Expected-Instance"), o); status != http.StatusOK {
 		w.respond(rw, status, reason)
 		return
 	}
@@ -242,6 +260,7 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 		w.mu.Lock()
+		w.abortIfDown()
 	}
 	running, finished := [][]any{}, [][]any{}
 	for task, current := range w.running {
@@ -265,12 +284,17 @@
 	for {
 		w.mu.Lock()
 		w.sequence++
+		down := w.down
 		body, _ := json.Marshal(heartbeat{
 			Service: service, Address: w.address, Zone: w.zone, Version: "v1", Slots: 8, State: "ready",
 			Capacity: map[string]int{"cpu": workerCPU, "requested-memory-mb": workerMemoryMB, "gpu": 0}, Labels: []string{"a", "r1"},
 			ClockMs: w.clock(), Born: w.born.UnixMilli(), Sequence: w.sequence,
 		})
 		w.mu.Unlock()
+		if down {
+			time.Sleep(watchPeriod)
+			continue
+		}
 		_, _ = call(time.Second, http.MethodPost, "http://"+agent+"/jaygw/instances/"+w.id+"/heartbeat", "", string(body))
 		time.Sleep(heartbeatPeriod)
 	}
@@ -280,7 +304,9 @@
 func (w *worker) watch() {
 	for range time.Tick(watchPeriod) {
 		w.mu.Lock()
-		w.update()
+		if !w.down {
+			w.update()
+		}
 		w.mu.Unlock()
 	}
 }
@@ -299,9 +325,45 @@
 	return w.refused
 }
 
+// setHoldUp sets which starts are held up.
+func (w *worker) setHoldUp(holdUp func(w *worker, o order) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.holdUp = holdUp
+}
+
 // setUnhealthy makes the worker refuse all starts until a time.
 func (w *worker) setUnhealthy(until time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.unhealthyUntil = until
 }
+
+// crash ends the worker with all that runs on it.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task := range w.running {
+		w.end(task, "crashed")
+	}
+	w.down, w.ends = true, nil
+}
+
+// boot starts the worker again under its id. It knows nothing of before.
+func (w *worker) boot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down, w.born, w.sequence = false, time.Now(), 0
+	w.fence, w.deadline, w.lastEnd, w.highest = 0, 0, 0, map[string]uint64{}
+}
+
+// deliver carries out a start that was held up, if its boot or a later one with the same id takes it.
+func (w *worker) deliver(o order) (int, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	status, reason := w.admit(w.id, o)
+	if status == http.StatusOK {
+		status, reason = w.start(o)
+	}
+	return status, reason
+}
