--- a/review/standin-3/heavyjob.go
+++ b/review/standin-3/heavyjob.go
@@ -92,6 +92,9 @@
 		}
 		clients.Go(func() {
 			status, answer := e.state(j)
+			for attempt := 0; attempt < clientRetries && status != http.StatusOK; attempt++ {
+				status, answer = e.state(j)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
